--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# build    compile the program to bin/
+# test     all tests, with fixed seeds
+# check    formatter, vet, linters
+# fmt      rewrite the sources in the standard format
+# bench    Go benchmarks
+# docs     rewrite the generated pages
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+.PHONY: build test race check fmt bench docs demo crash-check
+
+build:
+	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+check:
+	@mkdir -p test
+	@test -z "$$($(TOOL) gofumpt -l cmd internal test)" || { $(TOOL) gofumpt -d cmd internal test; exit 1; }
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+	$(TOOL) revive -config tools/revive.toml ./...
+
+fmt:
+	$(TOOL) gofumpt -w cmd internal test
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+docs: build
+	bin/pimentoswitch errors --markdown > docs/ERRORS.md
+
+demo:
+	$(GO) run ./cmd/pimentoswitch demo
+
+crash-check: build
+	sh test/crash_check.sh bin/pimentoswitch
--- /dev/null
+++ b/internal/entry/pimcode/codes.go
@@ -0,0 +1,170 @@
+// Package pimcode holds the numbered result codes of pimentoswitch.
+//
+// One table drives the command "pimentoswitch errors", the HTTP status of each
+// answer and docs/ERRORS.md. A code is never reused for another meaning.
+package pimcode
+
+import (
+	"errors"
+	"fmt"
+)
+
+type (
+	// Code is a result code. OK is zero; every other code is a four-digit number.
+	Code int
+
+	// Row describes one code: its kebab-case name, HTTP status, meaning and what to do.
+	Row struct {
+		Code       Code
+		Name       string
+		HTTPStatus int
+		Meaning    string
+		Action     string
+	}
+
+	// Error is a result code with the text that explains this occurrence.
+	Error struct {
+		Code   Code
+		Detail string
+	}
+)
+
+// The codes, by area: 10xx requests from outside, 11xx routing, 12xx journal,
+// 13xx manifests and marks, 14xx placement, 15xx state and membership, 16xx settings.
+const (
+	OK Code = 0
+
+	BadRequest        Code = 1001
+	TooLarge          Code = 1002
+	UnknownPath       Code = 1003
+	Draining          Code = 1004
+	Overloaded        Code = 1005
+	DeadlineMissing   Code = 1006
+	RequestIDHome     Code = 1007
+	UnknownDomain     Code = 1008
+	DeadlineExceeded  Code = 1101
+	NoEndpoint        Code = 1102
+	QueueFull         Code = 1103
+	WaitTooLong       Code = 1104
+	EndpointRefused   Code = 1105
+	AnswerIncomplete  Code = 1106
+	AnswerCrossed     Code = 1107
+	ConnectionLost    Code = 1108
+	DomainOut         Code = 1109
+	RetryBudgetSpent  Code = 1110
+	ConnectFailed     Code = 1111
+	InProgress        Code = 1201
+	OutcomeUnknown    Code = 1202
+	RequestIDReused   Code = 1203
+	JournalFull       Code = 1204
+	HomeUnreachable   Code = 1205
+	AnswerNotKept     Code = 1206
+	ManifestInvalid   Code = 1301
+	ManifestConflict  Code = 1302
+	ManifestStale     Code = 1303
+	ManifestMissing   Code = 1304
+	ChangeConflict    Code = 1305
+	LeaseExpired      Code = 1401
+	WorkerUnknown     Code = 1402
+	NotLeader         Code = 1501
+	NoLeader          Code = 1502
+	LeadershipLost    Code = 1503
+	LogCorrupt        Code = 1504
+	FolderLocked      Code = 1505
+	ClusterMismatch   Code = 1506
+	DiskFailed        Code = 1507
+	CallTimeout       Code = 1508
+	MembershipPending Code = 1509
+	FrameTooLarge     Code = 1510
+	UnknownMessage    Code = 1511
+	SettingInvalid    Code = 1601
+	AddressInUse      Code = 1602
+	ProgramFailed     Code = 1603
+	PromiseBroken     Code = 1604
+)
+
+var table = []Row{
+	{BadRequest, "bad-request", 400, "The body or a field can't be read.", "Correct the field that the text names."},
+	{TooLarge, "too-large", 413, "The body is larger than the limit.", "Send less at once."},
+	{UnknownPath, "unknown-path", 404, "No such path or method.", "See docs/API.md."},
+	{Draining, "draining", 503, "This daemon is stopping and takes nothing new.", "Try another daemon; the balancer does so by itself."},
+	{Overloaded, "overloaded", 503, "A bounded queue of this daemon is full.", "Come back after retry-after-ms."},
+	{DeadlineMissing, "deadline-missing", 400, "The request gives no positive deadline-ms.", "Give one."},
+	{RequestIDHome, "request-id-home", 400, "A non-idempotent request id must begin with its home failure domain and a dot.", "Use such an id, or send none and take the one in the answer."},
+	{UnknownDomain, "unknown-failure-domain", 404, "No daemon of that failure domain is a member.", "See pimentoswitch domain list."},
+	{DeadlineExceeded, "deadline-exceeded", 504, "The deadline passed first.", "Read the outcome: not-run may be sent again, unknown only if idempotent."},
+	{NoEndpoint, "no-endpoint", 503, "No endpoint of the service takes work now.", "Come back after retry-after-ms."},
+	{QueueFull, "queue-full", 503, "The queue of the service is full.", "Come back after retry-after-ms."},
+	{WaitTooLong, "wait-too-long", 503, "The expected wait is longer than the deadline.", "Come back after retry-after-ms or give a later deadline."},
+	{EndpointRefused, "endpoint-refused", 503, "The endpoint says that it did not run the request.", "Come back after retry-after-ms."},
+	{AnswerIncomplete, "answer-incomplete", 502, "The answer broke off before its end.", "The outcome is unknown; only an idempotent request may be sent again."},
+	{AnswerCrossed, "answer-crossed", 502, "The answer belongs to another request.", "The outcome is unknown; only an idempotent request may be sent again."},
+	{ConnectionLost, "connection-lost", 502, "The connection broke after the request was sent.", "The outcome is unknown; only an idempotent request may be sent again."},
+	{DomainOut, "failure-domain-out", 503, "The failure domain is out of service.", "Nothing; other failure domains take the work."},
+	{RetryBudgetSpent, "retry-budget-spent", 503, "Too many retries for the recent successes.", "Come back after retry-after-ms."},
+	{ConnectFailed, "connect-failed", 503, "No connection to the endpoint could be opened, so nothing was sent.", "Come back after retry-after-ms."},
+	{InProgress, "in-progress", 409, "An earlier attempt with this request id has not ended.", "Ask again with the same id later."},
+	{OutcomeUnknown, "outcome-unknown", 409, "It can't be told whether the request ran; it is never run again.", "Ask the service itself what happened."},
+	{RequestIDReused, "request-id-reused", 409, "The id was used before with other content.", "Use a new id."},
+	{JournalFull, "journal-full", 503, "The journal of the home failure domain is full.", "Come back after retry-after-ms."},
+	{HomeUnreachable, "home-unreachable", 503, "The journal of the request's home failure domain can't be reached.", "Ask again with the same id; it is not run elsewhere."},
+	{AnswerNotKept, "answer-not-kept", 200, "The request ran; its answer was too large to keep for a second reading.", "Ask the service itself for the answer."},
+	{ManifestInvalid, "manifest-invalid", 422, "The manifest has faults; each is listed.", "Correct them; the manifest in force stays."},
+	{ManifestConflict, "manifest-conflict", 409, "Another manifest with this number was accepted first.", "Read it with manifest show and commit on top of it."},
+	{ManifestStale, "manifest-stale", 409, "The base version is not the version in force.", "Read it with manifest show and commit on top of it."},
+	{ManifestMissing, "manifest-missing", 404, "No manifest has been committed.", "Commit one."},
+	{ChangeConflict, "change-conflict", 409, "Another mark with this number was accepted first.", "Read the marks with domain list and decide again."},
+	{LeaseExpired, "lease-expired", 409, "The lease ran out.", "The worker stops the tasks and reports again."},
+	{WorkerUnknown, "worker-unknown", 404, "The worker has not registered.", "Register first."},
+	{NotLeader, "not-leader", 503, "This daemon does not lead the group.", "Nothing; daemons ask the leader again by themselves."},
+	{NoLeader, "no-leader", 503, "The group has no leader that can be reached.", "Come back after retry-after-ms."},
+	{LeadershipLost, "leadership-lost", 503, "The leader changed before the entry was committed.", "Send the same again; an equal number and content is the same change."},
+	{LogCorrupt, "log-corrupt", 500, "A record in the middle of the log fails its checksum.", "Replace the host's data folder; it joins again by itself."},
+	{FolderLocked, "folder-locked", 500, "Another process uses the data folder.", "Stop it, or give another folder."},
+	{ClusterMismatch, "cluster-mismatch", 409, "The peer belongs to another cluster.", "Check the peers setting."},
+	{DiskFailed, "disk-failed", 500, "A write or sync of the data folder failed.", "Replace the disk; the daemon has stopped so that it acknowledges nothing."},
+	{CallTimeout, "call-timeout", 503, "A peer did not answer in time.", "Come back after retry-after-ms."},
+	{MembershipPending, "membership-pending", 503, "A membership change is under way.", "Nothing; it is tried again."},
+	{FrameTooLarge, "frame-too-large", 413, "A peer frame is larger than the limit.", "Check that only daemons use the peer address."},
+	{UnknownMessage, "unknown-message", 400, "A peer message has an unknown kind.", "Run the same version on all daemons."},
+	{SettingInvalid, "setting-invalid", 400, "A flag or environment variable has a bad value.", "Correct the value that the text names."},
+	{AddressInUse, "address-in-use", 500, "The address can't be listened on.", "Stop the other process, or give another address."},
+	{ProgramFailed, "program-failed", 500, "The program could not go on.", "See the text."},
+	{PromiseBroken, "promise-broken", 500, "A run broke a promise; the summary names it.", "File the summary and the seed as an issue."},
+}
+
+// Table returns all rows in the order of their codes.
+func Table() []Row { return table }
+
+// Lookup returns the row of a code. For an unknown code the row names program-failed.
+func Lookup(code Code) Row {
+	for _, row := range table {
+		if row.Code == code {
+			return row
+		}
+	}
+	return Row{Code: code, Name: "ok", HTTPStatus: 200}
+}
+
+// String returns the kebab-case name of the code.
+func (c Code) String() string { return Lookup(c).Name }
+
+// New returns an Error with a formatted detail.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the number, the name and the detail.
+func (e *Error) Error() string { return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Detail) }
+
+// Of returns the code inside err: OK for nil, ProgramFailed where there is none.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return ProgramFailed
+}
--- /dev/null
+++ b/internal/entry/pimcommand/client.go
@@ -0,0 +1,92 @@
+package pimcommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+)
+
+const forcePoll = 100 * time.Millisecond
+
+// clientSettings are shared by the commands that ask a running system.
+var clientSettings = []pimsetting.Setting{
+	{Flag: "entry", Default: "127.0.0.1:7501", Help: "HTTP addresses of entry daemons or of the balancer, with commas", Rule: "must be addresses separated by commas, at least one", Check: func(text string) bool {
+		return text != "" && pimsetting.IsAddressList(text)
+	}},
+	{Flag: "timeout", Default: "15s", Help: "longest time to wait", Rule: "must be a duration from 100ms to 1h", Check: pimsetting.IsDurationIn(100*time.Millisecond, time.Hour)},
+}
+
+func (c *call) balancer() *pimplatform.Balancer {
+	return pimplatform.NewBalancer(c.settings.List("entry"))
+}
+
+// retry calls f until it succeeds, gives an answer other than "try again", or time is over.
+func retry(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if err == nil || !isTransient(err) || ctx.Err() != nil {
+			return decodeError(err)
+		}
+		select {
+		case <-ctx.Done():
+			return decodeError(err)
+		case <-time.After(forcePoll):
+		}
+	}
+}
+
+// isTransient reports whether another daemon, or the same one later, may answer. Every
+// operator call may be sent again: equal number and content is the same change.
+func isTransient(err error) bool {
+	var status *pimplatform.StatusError
+	return !errors.As(err, &status) || status.Status == 503
+}
+
+// decodeError turns an answer's body into the result code that it names.
+func decodeError(err error) error {
+	var status *pimplatform.StatusError
+	if err == nil || !errors.As(err, &status) {
+		return asCoded(err)
+	}
+	var body struct {
+		pimdaemon.ErrorBody
+		Faults []struct {
+			Line             int
+			Path, Text, Rule string
+		} `json:"faults"`
+	}
+	if json.Unmarshal(status.Body, &body) != nil || body.Code == 0 {
+		return asCoded(err)
+	}
+	detail := body.Detail
+	for _, fault := range body.Faults {
+		detail += fmt.Sprintf("\nline %d: %s: %q: %s", fault.Line, fault.Path, fault.Text, fault.Rule)
+	}
+	return pimcode.New(pimcode.Code(body.Code), "%s", detail)
+}
+
+// waitForce waits until a version is in force everywhere and says so.
+func (c *call) waitForce(ctx context.Context, balancer *pimplatform.Balancer, version uint64) error {
+	started := time.Now()
+	for {
+		var force pimmessage.Force
+		err := balancer.Do(ctx, "GET", fmt.Sprintf("/v1/force?version=%d", version), nil, &force)
+		if err == nil && force.InForce {
+			fmt.Fprintf(c.out, "in force on every daemon after %.1f s\n", time.Since(started).Seconds())
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return pimcode.New(pimcode.CallTimeout, "version %d is accepted but not yet in force on %v", version, force.Waiting)
+		case <-time.After(forcePoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/pimcommand/main.go
@@ -0,0 +1,143 @@
+// Package pimcommand is the command line. Each command is one file with its options,
+// help, example and constructor, and one row in the table below.
+package pimcommand
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
+)
+
+type (
+	// command is one row of the table: its name, one line of help, a working example
+	// and its constructor. A group has rows below it instead of a run function.
+	command struct {
+		name     string
+		help     string
+		example  string
+		settings []pimsetting.Setting
+		run      func(ctx context.Context, c *call) error
+		rows     []command
+	}
+
+	// call is one run of a command.
+	call struct {
+		settings *pimsetting.Set
+		args     []string
+		out      io.Writer
+		errors   io.Writer
+	}
+)
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func table() []command {
+	return []command{
+		newServeCommand(),
+		newDemoCommand(),
+		newLoadCommand(),
+		newManifestCommand(),
+		newDomainCommand(),
+		newStatusCommand(),
+		newErrorsCommand(),
+		newStandinCommand(),
+		newVersionCommand(),
+	}
+}
+
+// Main runs the program and returns its exit status: 0 when all went well, 2 for a bad
+// setting or command line, 1 for any other failure.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{
+		Use:           "pimentoswitch",
+		Short:         "Schedules latency-critical and batch work that share hosts",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	for _, row := range table() {
+		root.AddCommand(build(row, "", out, errOut))
+	}
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	return report(errOut, err)
+}
+
+// report writes an error and returns the exit status for it.
+func report(errOut io.Writer, err error) int {
+	var coded *pimcode.Error
+	if !errors.As(err, &coded) {
+		fmt.Fprintf(errOut, "pimentoswitch: %d %s: %v\n", pimcode.SettingInvalid, pimcode.SettingInvalid, err)
+		return exitUsage
+	}
+	fmt.Fprintf(errOut, "pimentoswitch: %v\n", coded)
+	if coded.Code == pimcode.SettingInvalid {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func build(row command, parent string, out, errOut io.Writer) *cobra.Command {
+	path := row.name
+	if parent != "" {
+		path = parent + " " + row.name
+	}
+	c := &cobra.Command{Use: row.name, Short: row.help, Example: row.example}
+	for _, sub := range row.rows {
+		c.AddCommand(build(sub, path, out, errOut))
+	}
+	if row.run == nil {
+		return c
+	}
+	set := pimsetting.NewSet(path, c.Flags(), row.settings)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		if err := set.Check(); err != nil {
+			return err
+		}
+		return row.run(cmd.Context(), &call{settings: set, args: args, out: out, errors: errOut})
+	}
+	return c
+}
+
+// argument returns the only argument of a command, or an error that names it.
+func (c *call) argument(name string) (string, error) {
+	if len(c.args) != 1 {
+		return "", pimcode.New(pimcode.SettingInvalid, "%d arguments given: exactly one is needed, %s", len(c.args), name)
+	}
+	return c.args[0], nil
+}
+
+var logSettings = []pimsetting.Setting{
+	{Flag: "log-level", Default: "info", Help: "lowest level that is logged", Rule: "must be debug, info, warn or error", Check: pimsetting.IsOneOf("debug", "info", "warn", "error")},
+	{Flag: "log-sample", Default: "1", Help: "log one of so many decisions; 0 logs none", Rule: "must be a whole number from 0 to 1000000", Check: pimsetting.IsIntIn(0, 1_000_000)},
+}
+
+func (c *call) newLogger() *log.Logger {
+	return &log.Logger{
+		Level:      log.ParseLevel(c.settings.Text("log-level")),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.IOWriter{Writer: c.errors},
+	}
+}
--- /dev/null
+++ b/internal/entry/pimcommand/serve.go
@@ -0,0 +1,96 @@
+package pimcommand
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+)
+
+const (
+	ruleName    = "must be 1 to 63 of a-z, 0-9 and -, not beginning or ending with -"
+	ruleAddress = "must be an IP number and a port, such as 127.0.0.1:7400"
+)
+
+func newServeCommand() command {
+	return command{
+		name: "serve",
+		help: "Run the entry daemon of one host",
+		example: `  pimentoswitch serve --name north-1 --failure-domain north --data-dir ./north-1 \
+    --listen-peer 127.0.0.1:7401 --listen-http 127.0.0.1:7501 \
+    --found north-1@north@127.0.0.1:7401`,
+		settings: append([]pimsetting.Setting{
+			{Flag: "name", Help: "name of this daemon, unique in the deployment", Rule: ruleName, Check: pimsetting.IsName},
+			{Flag: "failure-domain", Help: "failure domain of this host", Rule: ruleName, Check: pimsetting.IsName},
+			{Flag: "data-dir", Help: "folder for all state", Rule: "must be given", Check: pimsetting.IsNotEmpty},
+			{Flag: "listen-peer", Help: "address for other daemons", Rule: ruleAddress, Check: pimsetting.IsAddress},
+			{Flag: "listen-http", Help: "address for callers, endpoints, workers and operators", Rule: ruleAddress, Check: pimsetting.IsAddress},
+			{Flag: "peers", Help: "peer addresses of a few other daemons, with commas; enough to join", Rule: "must be addresses separated by commas", Check: pimsetting.IsAddressList},
+			{Flag: "found", Help: "the full first set of daemons as name@failure-domain@peer-address, with commas; founds a new cluster once all of them are blank and present", Rule: "must be name@failure-domain@peer-address, separated by commas", Check: isFounders},
+			{Flag: "hold-batch", Default: "5m", Help: "how long batch tasks go on without a current configuration", Rule: "must be a duration from 30s to 24h", Check: pimsetting.IsDurationIn(30*time.Second, 24*time.Hour)},
+			{Flag: "replace-after", Default: "1m", Help: "how long a voter may be silent before another takes its place", Rule: "must be a duration from 5s to 24h", Check: pimsetting.IsDurationIn(5*time.Second, 24*time.Hour)},
+			{Flag: "journal-keep", Default: "24h", Help: "how long the outcome of a non-idempotent request is remembered", Rule: "must be a duration from 1m to 720h", Check: pimsetting.IsDurationIn(time.Minute, 720*time.Hour)},
+			{Flag: "drain-delay", Default: "2s", Help: "time between not ready and stopping, for the balancer to notice", Rule: "must be a duration from 0s to 5m", Check: pimsetting.IsDurationIn(0, 5*time.Minute)},
+			{Flag: "drain-timeout", Default: "1m", Help: "longest time that a graceful stop waits for requests under way", Rule: "must be a duration from 1s to 1h", Check: pimsetting.IsDurationIn(time.Second, time.Hour)},
+			{Flag: "cut-off-requests", Default: "serve", Help: "what a daemon without a current configuration does with requests", Rule: "must be serve or refuse", Check: pimsetting.IsOneOf("serve", "refuse")},
+			{Flag: "policy", Default: string(pimplace.PolicyInterference), Help: "placement policy", Rule: "must be interference or first-fit", Check: pimsetting.IsOneOf(string(pimplace.PolicyInterference), string(pimplace.PolicyFirstFit))},
+			{Flag: "max-sends", Default: "512", Help: "requests sent to endpoints at the same time; more are refused", Rule: "must be a whole number from 1 to 100000", Check: pimsetting.IsIntIn(1, 100_000)},
+		}, logSettings...),
+		run: runServe,
+	}
+}
+
+func parseFounder(text string) (pimcore.Founder, bool) {
+	parts := strings.Split(text, "@")
+	if len(parts) != 3 || !pimsetting.IsName(parts[0]) || !pimsetting.IsName(parts[1]) || !pimsetting.IsAddress(parts[2]) {
+		return pimcore.Founder{}, false
+	}
+	return pimcore.Founder{Name: parts[0], Domain: parts[1], PeerAddress: parts[2]}, true
+}
+
+func isFounders(text string) bool {
+	if text == "" {
+		return true
+	}
+	for _, part := range strings.Split(text, ",") {
+		if _, ok := parseFounder(part); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func runServe(ctx context.Context, c *call) error {
+	s := c.settings
+	var founders []pimcore.Founder
+	for _, part := range s.List("found") {
+		founder, _ := parseFounder(part)
+		founders = append(founders, founder)
+	}
+	daemon, err := pimdaemon.NewDaemon(pimdaemon.Settings{
+		Name:         s.Text("name"),
+		Domain:       s.Text("failure-domain"),
+		DataDir:      s.Text("data-dir"),
+		ListenPeer:   s.Text("listen-peer"),
+		ListenHTTP:   s.Text("listen-http"),
+		Founders:     founders,
+		Seeds:        s.List("peers"),
+		Hold:         s.Duration("hold-batch"),
+		ReplaceAfter: s.Duration("replace-after"),
+		JournalKeep:  s.Duration("journal-keep"),
+		DrainDelay:   s.Duration("drain-delay"),
+		DrainTimeout: s.Duration("drain-timeout"),
+		RefuseCutOff: s.Text("cut-off-requests") == "refuse",
+		Policy:       pimplace.Policy(s.Text("policy")),
+		MaxSends:     s.Int("max-sends"),
+		LogSample:    s.Int("log-sample"),
+	}, c.newLogger())
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
--- /dev/null
+++ b/internal/entry/pimcommand/standin.go
@@ -0,0 +1,99 @@
+package pimcommand
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimendpoint"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimworker"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+func newStandinCommand() command {
+	common := append([]pimsetting.Setting{
+		{Flag: "failure-domain", Help: "failure domain of the stand-ins", Rule: ruleName, Check: pimsetting.IsName},
+		{Flag: "count", Default: "1", Help: "how many run in this process", Rule: "must be a whole number from 1 to 1000", Check: pimsetting.IsIntIn(1, 1000)},
+		{Flag: "prefix", Help: "beginning of their ids", Rule: ruleName, Check: pimsetting.IsName},
+	}, clientSettings...)
+	return command{
+		name: "standin",
+		help: "Run stand-ins for endpoints and workers, for trials",
+		rows: []command{
+			{
+				name:    "endpoint",
+				help:    "Run endpoints that answer after a while",
+				example: "  pimentoswitch standin endpoint --failure-domain north --prefix callout --service callout --count 4 --entry 127.0.0.1:7501",
+				settings: append([]pimsetting.Setting{
+					{Flag: "service", Help: "service that they offer", Rule: ruleName, Check: pimsetting.IsName},
+					{Flag: "slots", Default: "8", Help: "slots of each", Rule: "must be a whole number from 1 to 4096", Check: pimsetting.IsIntIn(1, 4096)},
+					{Flag: "work", Default: "20ms", Help: "mean time of a request", Rule: "must be a duration from 1ms to 10m", Check: pimsetting.IsDurationIn(time.Millisecond, 10*time.Minute)},
+				}, common...),
+				run: runStandinEndpoint,
+			},
+			{
+				name:    "worker",
+				help:    "Run workers that hold tasks",
+				example: "  pimentoswitch standin worker --failure-domain north --prefix worker --count 8 --entry 127.0.0.1:7501",
+				settings: append([]pimsetting.Setting{
+					{Flag: "cpu-millis", Default: "30000", Help: "processors of each, in thousandths", Rule: "must be a whole number from 1 to 1000000", Check: pimsetting.IsIntIn(1, 1_000_000)},
+					{Flag: "memory-mb", Default: "125000", Help: "memory of each", Rule: "must be a whole number from 1 to 10000000", Check: pimsetting.IsIntIn(1, 10_000_000)},
+					{Flag: "fail-all", Default: "false", Help: "fail whatever is started", Rule: "must be true or false", Check: pimsetting.IsBool, Switch: true},
+				}, common...),
+				run: runStandinWorker,
+			},
+		},
+	}
+}
+
+// workersPerRack is how many stand-in workers share a rack.
+const workersPerRack = 8
+
+func runStandinEndpoint(ctx context.Context, c *call) error {
+	balancer := c.balancer()
+	ends := []<-chan error{pimroutine.Start(ctx, balancer.Run)}
+	for i := range c.settings.Int("count") {
+		endpoint, err := pimendpoint.NewEndpoint(pimendpoint.Settings{
+			ID:      fmt.Sprintf("%s-%s-%d", c.settings.Text("prefix"), c.settings.Text("failure-domain"), i+1),
+			Service: c.settings.Text("service"),
+			Domain:  c.settings.Text("failure-domain"),
+			Listen:  "127.0.0.1:0",
+			Slots:   c.settings.Int("slots"),
+			Work:    c.settings.Duration("work"),
+			Seed:    uint64(i + 1),
+		}, balancer, nil)
+		if err != nil {
+			return asCoded(err)
+		}
+		ends = append(ends, pimroutine.Start(ctx, endpoint.Run))
+	}
+	return waitAll(ends)
+}
+
+func runStandinWorker(ctx context.Context, c *call) error {
+	balancer := c.balancer()
+	ends := []<-chan error{pimroutine.Start(ctx, balancer.Run)}
+	for i := range c.settings.Int("count") {
+		worker := pimworker.NewWorker(pimworker.Settings{
+			ID:       fmt.Sprintf("%s-%s-%d", c.settings.Text("prefix"), c.settings.Text("failure-domain"), i+1),
+			Domain:   c.settings.Text("failure-domain"),
+			Rack:     fmt.Sprintf("rack-%s-%d", c.settings.Text("failure-domain"), i/workersPerRack+1),
+			Capacity: pimmanifest.Resources{CPUMillis: int64(c.settings.Int("cpu-millis")), MemoryMB: int64(c.settings.Int("memory-mb"))},
+			FailAll:  c.settings.Bool("fail-all"),
+		}, balancer, nil)
+		ends = append(ends, pimroutine.Start(ctx, worker.Run))
+	}
+	return waitAll(ends)
+}
+
+func waitAll(ends []<-chan error) error {
+	var first error
+	for _, end := range ends {
+		if err := <-end; err != nil && first == nil {
+			first = err
+		}
+	}
+	return asCoded(first)
+}
--- /dev/null
+++ b/internal/entry/pimdaemon/daemon.go
@@ -0,0 +1,387 @@
+// Package pimdaemon runs the decision core as a process: it owns the core's
+// goroutine and carries out its commands with disk, peer connections, endpoint
+// connections and the HTTP interface.
+package pimdaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimmetric"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimpeer"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// Settings are the checked settings of a daemon.
+	Settings struct {
+		Name         string
+		Domain       string
+		DataDir      string
+		ListenPeer   string
+		ListenHTTP   string
+		Advertise    string
+		Founders     []pimcore.Founder
+		Seeds        []string
+		Hold         time.Duration
+		ReplaceAfter time.Duration
+		JournalKeep  time.Duration
+		DrainDelay   time.Duration
+		DrainTimeout time.Duration
+		RefuseCutOff bool
+		Policy       pimplace.Policy
+		MaxSends     int
+		LogSample    int
+	}
+
+	// Daemon is one running entry daemon.
+	Daemon struct {
+		settings  Settings
+		logger    *log.Logger
+		metrics   *pimmetric.Metrics
+		lock      *pimlog.Lock
+		identity  *identityFile
+		disk      *disk
+		node      *pimcore.Node
+		transport *pimpeer.Transport
+		endpoints *endpointClient
+		server    *httpServer
+		sends     pond.Pool
+		events    chan pimcore.Event
+		startedAt time.Time
+		decisions uint64
+		drained   chan struct{}
+		drainOnce sync.Once
+		failure   chan error
+
+		mutex     sync.Mutex
+		lastToken uint64
+		answers   map[uint64]chan any
+	}
+)
+
+const (
+	eventQueue     = 8192
+	maxEventsBatch = 512
+	sendQueue      = 256
+	drainPoll      = 50 * time.Millisecond
+)
+
+// NewDaemon locks and reads the data folder and listens. Run starts it.
+func NewDaemon(settings Settings, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings:  settings,
+		logger:    logger,
+		metrics:   pimmetric.NewMetrics(),
+		endpoints: newEndpointClient(),
+		sends:     pond.NewPool(settings.MaxSends, pond.WithQueueSize(sendQueue), pond.WithNonBlocking(true)),
+		events:    make(chan pimcore.Event, eventQueue),
+		startedAt: time.Now(),
+		drained:   make(chan struct{}),
+		failure:   make(chan error, 1),
+		answers:   map[uint64]chan any{},
+	}
+	if err := d.open(); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) open() error {
+	lock, err := pimlog.LockFolder(d.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	d.lock = lock
+	if d.identity, err = openIdentity(d.settings.DataDir, d.settings.Name); err != nil {
+		return err
+	}
+	d.disk = newDisk(d.settings.DataDir, pimlog.OpenSegment)
+	d.disk.done = d.onPersisted
+	d.disk.failed = d.fail
+	saved, err := d.disk.load()
+	if err != nil {
+		return err
+	}
+	d.transport, err = pimpeer.NewTransport(d.identity.memberID(), d.settings.ListenPeer, d.onPeer)
+	if err != nil {
+		return err
+	}
+	if d.server, err = newHTTPServer(d, d.settings.ListenHTTP); err != nil {
+		return err
+	}
+	boot := newBoot()
+	d.node, err = pimcore.NewNode(pimcore.Config{
+		Member: pimconfig.Member{
+			ID:          d.identity.memberID(),
+			Name:        d.settings.Name,
+			Domain:      d.settings.Domain,
+			PeerAddress: d.transport.Address(),
+			HTTPAddress: d.server.address(),
+		},
+		ClusterID:    d.identity.value.ClusterID,
+		Founders:     d.settings.Founders,
+		Seeds:        d.settings.Seeds,
+		Saved:        saved,
+		Boot:         boot,
+		Seed:         boot,
+		Hold:         d.settings.Hold,
+		ReplaceAfter: d.settings.ReplaceAfter,
+		JournalKeep:  d.settings.JournalKeep,
+		RefuseCutOff: d.settings.RefuseCutOff,
+		Policy:       d.settings.Policy,
+	}, d.now())
+	return err
+}
+
+func newBoot() uint64 {
+	var bytes [8]byte
+	rand.Read(bytes[:])
+	return binary.LittleEndian.Uint64(bytes[:])>>1 | 1
+}
+
+// now is the monotonic time since the daemon was made; it is never zero.
+func (d *Daemon) now() time.Duration { return time.Since(d.startedAt) + time.Millisecond }
+
+// PeerAddress returns the address for other daemons.
+func (d *Daemon) PeerAddress() string { return d.transport.Address() }
+
+// HTTPAddress returns the address for callers, endpoints, workers and operators.
+func (d *Daemon) HTTPAddress() string { return d.server.address() }
+
+// Run serves until the context ends, then stops gracefully: it says that it is not
+// ready, waits for the balancer, hands over, answers what is under way and returns.
+// A failing disk ends it at once with an error.
+func (d *Daemon) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loop := pimroutine.Start(inner, d.loop)
+	peers := pimroutine.Start(inner, d.transport.Run)
+	server := pimroutine.Start(inner, d.server.run)
+	d.logger.Info().Str("http", d.HTTPAddress()).Str("peer", d.PeerAddress()).Str("id", d.identity.memberID()).Msg("started")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = d.drainAndWait()
+	case err = <-d.failure:
+		d.logger.Error().Err(err).Msg("stopped by a failure")
+	}
+	d.server.stop()
+	cancel()
+	<-server
+	<-peers
+	<-loop
+	d.sends.StopAndWait()
+	d.close()
+	return err
+}
+
+// Kill ends the daemon at once, as a crash would; only what was synced stays.
+func (d *Daemon) Kill() {
+	d.fail(pimcode.New(pimcode.ProgramFailed, "killed"))
+}
+
+func (d *Daemon) close() {
+	if d.disk != nil {
+		d.disk.close()
+	}
+	if d.lock != nil {
+		d.lock.Release()
+	}
+}
+
+func (d *Daemon) fail(err error) {
+	select {
+	case d.failure <- err:
+	default:
+	}
+}
+
+// drainAndWait is the graceful stop. Readiness is false at once; requests are still
+// taken during the delay, in which the balancer learns of it.
+func (d *Daemon) drainAndWait() error {
+	d.server.setStopping()
+	d.logger.Info().Msg("stopping: not ready any more")
+	select {
+	case <-time.After(d.settings.DrainDelay):
+	case err := <-d.failure:
+		return err
+	}
+	d.post(pimcore.Drain{})
+	select {
+	case <-d.drained:
+		d.logger.Info().Msg("stopped: every request is answered")
+		return nil
+	case <-time.After(d.settings.DrainTimeout):
+		return pimcode.New(pimcode.DeadlineExceeded, "requests were still under way after %s", d.settings.DrainTimeout)
+	case err := <-d.failure:
+		return err
+	}
+}
+
+// loop is the one goroutine that uses the core.
+func (d *Daemon) loop(ctx context.Context) error {
+	ticker := time.NewTicker(pimcore.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.node.Handle(d.now(), pimcore.Tick{})
+		case event := <-d.events:
+			d.node.Handle(d.now(), event)
+			d.handleWaiting()
+		}
+		d.carryOut(d.node.Take())
+		if d.node.IsDrained() {
+			d.drainOnce.Do(func() { close(d.drained) })
+		}
+	}
+}
+
+// handleWaiting takes what else is queued, so that one sync serves many events.
+func (d *Daemon) handleWaiting() {
+	for range maxEventsBatch {
+		select {
+		case event := <-d.events:
+			d.node.Handle(d.now(), event)
+		default:
+			return
+		}
+	}
+}
+
+func (d *Daemon) carryOut(commands []pimcore.Command) {
+	for _, command := range commands {
+		switch c := command.(type) {
+		case pimcore.SendPeer:
+			d.transport.Send(c.Address, c.To, c.Message)
+		case pimcore.Persist:
+			d.disk.submit(c)
+		case pimcore.SaveIdentity:
+			if err := d.identity.setCluster(c.ClusterID); err != nil {
+				d.fail(err)
+			}
+		case pimcore.SendEndpoint:
+			d.sendEndpoint(c.Attempt)
+		case pimcore.AnswerCaller:
+			d.metrics.CountOutcome(string(c.Answer.Outcome), c.Answer.Code.String())
+			d.answer(c.Token, c.Answer)
+		case pimcore.AnswerCall:
+			d.answer(c.Token, c)
+		case pimcore.AnswerStatus:
+			d.answer(c.Token, c.Status)
+		default:
+			d.logDecision(command)
+		}
+	}
+}
+
+// sendEndpoint sends an attempt from the pool. A full pool sheds it: nothing was sent.
+func (d *Daemon) sendEndpoint(attempt pimrequest.SendAttempt) {
+	_, accepted := d.sends.TrySubmit(func() {
+		started := time.Now()
+		result := d.endpoints.send(attempt)
+		d.metrics.ObserveAttempt(time.Since(started))
+		d.post(pimcore.AttemptEnded{Result: result})
+	})
+	if !accepted {
+		d.metrics.CountShed("endpoint-sends")
+		result := pimrequest.Result{Attempt: attempt.Attempt, Kind: pimrequest.ResultNotSent}
+		d.node.Handle(d.now(), pimcore.AttemptEnded{Result: result})
+	}
+}
+
+func (d *Daemon) onPersisted(command pimcore.Persist) {
+	for _, send := range command.Then {
+		d.transport.Send(send.Address, send.To, send.Message)
+	}
+	if command.Index > 0 {
+		d.post(pimcore.Persisted{Group: command.Group, Index: command.Index, Term: command.Term})
+	}
+}
+
+func (d *Daemon) onPeer(from, to string, message pimmessage.Peer) {
+	d.post(pimcore.PeerReceived{From: from, To: to, Message: message})
+}
+
+func (d *Daemon) post(event pimcore.Event) {
+	select {
+	case d.events <- event:
+	case <-d.drained:
+	}
+}
+
+// ask posts an event with a token and waits for the answer, or returns nil.
+func (d *Daemon) ask(timeout time.Duration, event func(token uint64) pimcore.Event) any {
+	reply := make(chan any, 1)
+	d.mutex.Lock()
+	d.lastToken++
+	token := d.lastToken
+	d.answers[token] = reply
+	d.mutex.Unlock()
+	d.post(event(token))
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case answer := <-reply:
+		return answer
+	case <-timer.C:
+		d.mutex.Lock()
+		delete(d.answers, token)
+		d.mutex.Unlock()
+		return nil
+	}
+}
+
+func (d *Daemon) answer(token uint64, answer any) {
+	d.mutex.Lock()
+	reply := d.answers[token]
+	delete(d.answers, token)
+	d.mutex.Unlock()
+	if reply != nil {
+		reply <- answer
+	}
+}
+
+// logDecision writes one line for each decision, or one of LogSample.
+func (d *Daemon) logDecision(command pimcore.Command) {
+	switch c := command.(type) {
+	case pimcore.LogEvent:
+		d.logger.Info().Str("group", c.Group).Str("event", c.Event).Str("detail", c.Detail).Msg("membership")
+		return
+	case pimcore.LogRouting:
+		if d.isSampled() {
+			d.logger.Info().Str("request", c.Decision.RequestID).Str("service", c.Decision.Service).
+				Str("choice", c.Decision.Choice).Str("reason", c.Decision.Reason).
+				Int("candidates", c.Decision.Candidates).Str("failure-domain", c.Decision.Domain).
+				Uint64("version", c.Version).Msg("routing")
+		}
+	case pimcore.LogPlacement:
+		if d.isSampled() {
+			d.logger.Info().Str("job", c.Decision.Task.Job).Int("index", c.Decision.Task.Index).
+				Str("choice", c.Decision.Choice).Str("reason", c.Decision.Reason).
+				Int("candidates", c.Decision.Candidates).Uint64("version", c.Version).Msg("placement")
+		}
+	}
+}
+
+func (d *Daemon) isSampled() bool {
+	d.decisions++
+	return d.settings.LogSample > 0 && d.decisions%uint64(d.settings.LogSample) == 0
+}
--- /dev/null
+++ b/internal/entry/pimdaemon/disk.go
@@ -0,0 +1,142 @@
+package pimdaemon
+
+import (
+	"path/filepath"
+	"sync"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// disk makes the batches of all groups durable, each group in order. What waits
+	// for a group is written with one sync.
+	disk struct {
+		folder string
+		open   pimlog.OpenFile
+		done   func(command pimcore.Persist)
+		failed func(err error)
+
+		mutex  sync.Mutex
+		groups map[string]*diskGroup
+	}
+
+	diskGroup struct {
+		store   *pimlog.Store
+		pool    pond.Pool
+		waiting []pimcore.Persist
+		busy    bool
+	}
+)
+
+const groupsFolder = "groups"
+
+func newDisk(folder string, open pimlog.OpenFile) *disk {
+	return &disk{folder: filepath.Join(folder, groupsFolder), open: open, groups: map[string]*diskGroup{}}
+}
+
+// load opens the folder of each group that is there.
+func (d *disk) load() (map[string]pimconsensus.Saved, error) {
+	saved := map[string]pimconsensus.Saved{}
+	names, err := filepath.Glob(filepath.Join(d.folder, "*"))
+	if err != nil {
+		return nil, err
+	}
+	for _, path := range names {
+		name := filepath.Base(path)
+		store, state, err := pimlog.Open(path, d.open)
+		if err != nil {
+			return nil, err
+		}
+		d.groups[name] = newDiskGroup(store)
+		saved[name] = state
+	}
+	return saved, nil
+}
+
+func newDiskGroup(store *pimlog.Store) *diskGroup {
+	return &diskGroup{store: store, pool: pond.NewPool(1)}
+}
+
+// submit queues a command. Its end comes through done or failed.
+func (d *disk) submit(command pimcore.Persist) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	g := d.groups[command.Group]
+	if g == nil {
+		store, _, err := pimlog.Open(filepath.Join(d.folder, command.Group), d.open)
+		if err != nil {
+			d.failed(err)
+			return
+		}
+		g = newDiskGroup(store)
+		d.groups[command.Group] = g
+	}
+	g.waiting = append(g.waiting, command)
+	if !g.busy {
+		g.busy = true
+		g.pool.Submit(func() { d.drain(g) })
+	}
+}
+
+func (d *disk) drain(g *diskGroup) {
+	for {
+		d.mutex.Lock()
+		commands := g.waiting
+		g.waiting = nil
+		g.busy = len(commands) > 0
+		d.mutex.Unlock()
+		if len(commands) == 0 {
+			return
+		}
+		if err := g.write(commands); err != nil {
+			d.failed(err)
+			return
+		}
+		for _, command := range commands {
+			d.done(command)
+		}
+	}
+}
+
+// write merges runs of batches into one write and sync each.
+func (g *diskGroup) write(commands []pimcore.Persist) error {
+	var merged pimlog.Batch
+	for _, command := range commands {
+		if command.Snapshot != nil {
+			if err := g.flush(&merged); err != nil {
+				return err
+			}
+			if err := g.store.SaveSnapshot(*command.Snapshot); err != nil {
+				return err
+			}
+		}
+		if command.Batch.Hard != nil {
+			merged.Hard = command.Batch.Hard
+		}
+		merged.Entries = append(merged.Entries, command.Batch.Entries...)
+	}
+	return g.flush(&merged)
+}
+
+func (g *diskGroup) flush(batch *pimlog.Batch) error {
+	if batch.Hard == nil && len(batch.Entries) == 0 {
+		return nil
+	}
+	err := g.store.Append(*batch)
+	*batch = pimlog.Batch{}
+	return err
+}
+
+func (d *disk) close() {
+	d.mutex.Lock()
+	groups := d.groups
+	d.mutex.Unlock()
+	for _, g := range groups {
+		g.pool.StopAndWait()
+		g.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/pimdaemon/http_operator.go
@@ -0,0 +1,150 @@
+package pimdaemon
+
+import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+)
+
+type (
+	// ChangeAnswer answers an operator's change. Accepted means committed and kept;
+	// GET /v1/force tells when the version is in force everywhere.
+	ChangeAnswer struct {
+		Accepted bool   `json:"accepted"`
+		Number   uint64 `json:"number"`
+		Digest   string `json:"digest,omitempty"`
+		Version  uint64 `json:"version"`
+	}
+
+	// MarkBody is what an operator puts to a failure domain: state "out" or "in". A
+	// number makes a change that is sent again the same change.
+	MarkBody struct {
+		State  string `json:"state"`
+		Number uint64 `json:"number,omitempty"`
+	}
+
+	// StatusBody is the answer of GET /v1/status.
+	StatusBody struct {
+		pimcore.Status
+		Tables map[string]pimmessage.DomainTables `json:"tables,omitempty"`
+	}
+)
+
+func (s *httpServer) putManifest(ctx *fasthttp.RequestCtx, _ string) {
+	base := uint64(0)
+	if text := string(ctx.QueryArgs().Peek("base")); text != "" {
+		value, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeCode(ctx, pimcode.BadRequest, "base: "+text+": must be a number")
+			return
+		}
+		base = value
+	}
+	content := append([]byte(nil), ctx.PostBody()...)
+	call := pimmessage.CommitManifest{Command: pimconfig.CommitManifest{Base: base, Content: content}}
+	s.change(ctx, call)
+}
+
+// change sends an operator's change to the configuration group and answers it.
+func (s *httpServer) change(ctx *fasthttp.RequestCtx, call pimmessage.Call) {
+	reply, ok := s.call(ctx, pimcore.ConfigGroup, call, operatorTimeout)
+	if !ok {
+		return
+	}
+	configured, _ := reply.(pimmessage.Configured)
+	result := configured.Result
+	if result.Code != pimcode.OK {
+		row := pimcode.Lookup(result.Code)
+		body := ErrorBody{Code: int(result.Code), Name: row.Name, Detail: result.Detail}
+		if len(configured.Faults) > 0 {
+			body.Faults = configured.Faults
+		}
+		writeJSON(ctx, row.HTTPStatus, body)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, ChangeAnswer{Accepted: true, Number: result.Number, Digest: result.Digest, Version: result.Version})
+}
+
+func (s *httpServer) getManifest(ctx *fasthttp.RequestCtx, _ string) {
+	status, ok := s.status(ctx)
+	if !ok {
+		return
+	}
+	if status.Manifest.Number == 0 {
+		writeCode(ctx, pimcode.ManifestMissing, "")
+		return
+	}
+	ctx.Response.Header.Set("Pimentoswitch-Number", strconv.FormatUint(status.Manifest.Number, 10))
+	ctx.Response.Header.Set("Pimentoswitch-Digest", status.Manifest.Digest)
+	ctx.SetContentType("application/yaml")
+	ctx.SetBody(status.Content)
+}
+
+func (s *httpServer) putDomain(ctx *fasthttp.RequestCtx, domain string) {
+	var body MarkBody
+	if !readJSON(ctx, &body) {
+		return
+	}
+	if body.State != "out" && body.State != "in" {
+		writeCode(ctx, pimcode.BadRequest, "state: must be out or in")
+		return
+	}
+	s.change(ctx, pimmessage.MarkDomain{Command: pimconfig.MarkDomain{Domain: domain, Out: body.State == "out", Number: body.Number}})
+}
+
+func (s *httpServer) getDomains(ctx *fasthttp.RequestCtx, _ string) {
+	if status, ok := s.status(ctx); ok {
+		writeJSON(ctx, fasthttp.StatusOK, status.Domains)
+	}
+}
+
+func (s *httpServer) getDomain(ctx *fasthttp.RequestCtx, domain string) {
+	reply, ok := s.call(ctx, pimcore.DomainGroup(domain), pimmessage.QueryDomain{}, reportTimeout)
+	if ok {
+		writeJSON(ctx, fasthttp.StatusOK, reply)
+	}
+}
+
+func (s *httpServer) getForce(ctx *fasthttp.RequestCtx, _ string) {
+	text := string(ctx.QueryArgs().Peek("version"))
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		writeCode(ctx, pimcode.BadRequest, "version: "+text+": must be a number")
+		return
+	}
+	reply, ok := s.call(ctx, pimcore.ConfigGroup, pimmessage.QueryForce{Version: version}, reportTimeout)
+	if ok {
+		writeJSON(ctx, fasthttp.StatusOK, reply)
+	}
+}
+
+func (s *httpServer) getStatus(ctx *fasthttp.RequestCtx, _ string) {
+	status, ok := s.status(ctx)
+	if !ok {
+		return
+	}
+	body := StatusBody{Status: status}
+	if ctx.QueryArgs().Has("tables") {
+		body.Tables = s.tables(status)
+	}
+	writeJSON(ctx, fasthttp.StatusOK, body)
+}
+
+// tables asks the leader of each failure domain; one that can't be reached is left out.
+func (s *httpServer) tables(status pimcore.Status) map[string]pimmessage.DomainTables {
+	tables := map[string]pimmessage.DomainTables{}
+	for _, domain := range status.Domains {
+		answer, _ := s.daemon.ask(reportTimeout, func(token uint64) pimcore.Event {
+			return pimcore.CallReceived{Token: token, Group: pimcore.DomainGroup(domain.ID), Call: pimmessage.QueryDomain{}, TTL: reportTimeout}
+		}).(pimcore.AnswerCall)
+		if found, ok := answer.Reply.(pimmessage.DomainTables); ok {
+			tables[domain.ID] = found
+		}
+	}
+	return tables
+}
--- /dev/null
+++ b/internal/entry/pimdaemon/identity.go
@@ -0,0 +1,106 @@
+package pimdaemon
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+)
+
+type (
+	// identity is what a data folder knows of itself. The nonce makes the member id
+	// of a host that lost its disk differ from the one that it had.
+	identity struct {
+		Name      string `json:"name"`
+		Nonce     string `json:"nonce"`
+		ClusterID string `json:"cluster-id"`
+	}
+
+	identityFile struct {
+		path  string
+		mutex sync.Mutex
+		value identity
+	}
+)
+
+const (
+	identityName = "identity.json"
+	nonceBytes   = 6
+)
+
+func openIdentity(folder, name string) (*identityFile, error) {
+	f := &identityFile{path: filepath.Join(folder, identityName)}
+	data, err := os.ReadFile(f.path)
+	if os.IsNotExist(err) {
+		f.value = identity{Name: name, Nonce: newNonce()}
+		return f, f.save()
+	}
+	if err != nil {
+		return nil, pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	if err := json.Unmarshal(data, &f.value); err != nil {
+		return nil, pimcode.New(pimcode.LogCorrupt, "file %q, offset 0: %v", f.path, err)
+	}
+	if f.value.Name != name {
+		return nil, pimcode.New(pimcode.SettingInvalid, "--name %q: the data folder belongs to %q", name, f.value.Name)
+	}
+	return f, nil
+}
+
+func newNonce() string {
+	var nonce [nonceBytes]byte
+	rand.Read(nonce[:])
+	return hex.EncodeToString(nonce[:])
+}
+
+func (f *identityFile) memberID() string { return f.value.Name + "#" + f.value.Nonce }
+
+func (f *identityFile) setCluster(id string) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.value.ClusterID = id
+	return f.save()
+}
+
+// save writes the file whole, synced, under another name and renames it.
+func (f *identityFile) save() error {
+	data, err := json.Marshal(f.value)
+	if err != nil {
+		return pimcode.New(pimcode.ProgramFailed, "%v", err)
+	}
+	temporary := f.path + ".new"
+	file, err := os.Create(temporary)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	_, err = file.Write(data)
+	if syncErr := file.Sync(); err == nil {
+		err = syncErr
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(temporary, f.path)
+	}
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	return syncFolderOf(f.path)
+}
+
+func syncFolderOf(path string) error {
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	defer folder.Close()
+	if err := folder.Sync(); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/pimmetric/metric.go
@@ -0,0 +1,99 @@
+// Package pimmetric holds a daemon's metrics, built on tally, and writes them in the
+// text form that scrapers read.
+package pimmetric
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+type (
+	// Metrics is the scope of one daemon.
+	Metrics struct {
+		scope tally.TestScope
+		mutex sync.Mutex
+	}
+
+	// sample is one line of the text form.
+	sample struct {
+		name  string
+		tags  map[string]string
+		value float64
+	}
+)
+
+const prefix = "pimentoswitch"
+
+// NewMetrics returns an empty scope.
+func NewMetrics() *Metrics {
+	return &Metrics{scope: tally.NewTestScope(prefix, nil)}
+}
+
+// CountOutcome counts an answered request.
+func (m *Metrics) CountOutcome(outcome, code string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("requests").Inc(1)
+}
+
+// CountShed counts work that a full pool refused.
+func (m *Metrics) CountShed(pool string) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Counter("shed").Inc(1)
+}
+
+// ObserveAttempt counts one attempt and the time that it took.
+func (m *Metrics) ObserveAttempt(took time.Duration) {
+	m.scope.Counter("attempts").Inc(1)
+	m.scope.Counter("attempt-micros").Inc(took.Microseconds())
+}
+
+// SetGauge sets a gauge.
+func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// WriteText writes all counters and gauges, sorted by name.
+func (m *Metrics) WriteText(writer io.Writer) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, s := range m.samples() {
+		if _, err := fmt.Fprintf(writer, "%s%s %g\n", scrapeName(s.name), scrapeTags(s.tags), s.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Metrics) samples() []sample {
+	var samples []sample
+	snapshot := m.scope.Snapshot()
+	for _, counter := range snapshot.Counters() {
+		samples = append(samples, sample{counter.Name() + "_total", counter.Tags(), float64(counter.Value())})
+	}
+	for _, gauge := range snapshot.Gauges() {
+		samples = append(samples, sample{gauge.Name(), gauge.Tags(), gauge.Value()})
+	}
+	slices.SortFunc(samples, func(a, b sample) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(scrapeTags(a.tags), scrapeTags(b.tags)))
+	})
+	return samples
+}
+
+func scrapeName(name string) string {
+	return strings.NewReplacer("-", "_", "+", "_", ".", "_").Replace(name)
+}
+
+func scrapeTags(tags map[string]string) string {
+	if len(tags) == 0 {
+		return ""
+	}
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(tags)) {
+		parts = append(parts, fmt.Sprintf("%s=%q", scrapeName(key), tags[key]))
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
--- /dev/null
+++ b/internal/measure/pimdemo/cluster.go
@@ -0,0 +1,233 @@
+package pimdemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimendpoint"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimwitness"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimworker"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	// Shape is the size of a cluster in one process.
+	Shape struct {
+		Domains           []string
+		DaemonsPerDomain  int
+		EndpointsPerKind  int
+		WorkersPerDomain  int
+		Services          []string
+		Slots             int
+		Work              time.Duration
+		WorkerCapacity    pimmanifest.Resources
+		RacksPerDomain    int
+		DrainDelay        time.Duration
+		SeedOfTheStandins uint64
+	}
+
+	// process is one daemon, endpoint or worker, with the means to end it.
+	process struct {
+		name   string
+		cancel context.CancelFunc
+		done   <-chan error
+		daemon *pimdaemon.Daemon
+	}
+
+	// Cluster is daemons with real sockets and data folders, and stand-ins.
+	Cluster struct {
+		shape     Shape
+		folder    string
+		logger    *log.Logger
+		witness   *pimwitness.Witness
+		balancer  *pimplatform.Balancer
+		founders  []pimcore.Founder
+		daemons   map[string]*process
+		platform  []*process
+		addresses []string
+	}
+)
+
+const (
+	holdBatch    = 5 * time.Minute
+	replaceAfter = time.Minute
+	journalKeep  = 24 * time.Hour
+	drainTimeout = 30 * time.Second
+	maxSends     = 256
+)
+
+// NewCluster reserves addresses; Start runs the daemons, then the stand-ins.
+func NewCluster(shape Shape, folder string, logger *log.Logger) (*Cluster, error) {
+	c := &Cluster{
+		shape:   shape,
+		folder:  folder,
+		logger:  logger,
+		witness: pimwitness.NewWitness(),
+		daemons: map[string]*process{},
+	}
+	for _, domain := range shape.Domains {
+		for i := range shape.DaemonsPerDomain {
+			addresses, err := reserveAddresses(2)
+			if err != nil {
+				return nil, err
+			}
+			name := fmt.Sprintf("%s-%d", domain, i+1)
+			c.founders = append(c.founders, pimcore.Founder{
+				Name: name, Domain: domain, PeerAddress: addresses[0], HTTPAddress: addresses[1],
+			})
+			c.addresses = append(c.addresses, addresses[1])
+		}
+	}
+	c.balancer = pimplatform.NewBalancer(c.addresses)
+	return c, nil
+}
+
+// reserveAddresses returns loopback addresses that were free a moment ago.
+func reserveAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Start runs everything.
+func (c *Cluster) Start() error {
+	for _, founder := range c.founders {
+		if err := c.startDaemon(founder); err != nil {
+			return err
+		}
+	}
+	c.run("balancer", c.balancer.Run)
+	for _, domain := range c.shape.Domains {
+		if err := c.startEndpoints(domain); err != nil {
+			return err
+		}
+		c.startWorkers(domain)
+	}
+	return nil
+}
+
+func (c *Cluster) startDaemon(founder pimcore.Founder) error {
+	daemon, err := pimdaemon.NewDaemon(pimdaemon.Settings{
+		Name:         founder.Name,
+		Domain:       founder.Domain,
+		DataDir:      filepath.Join(c.folder, founder.Name),
+		ListenPeer:   founder.PeerAddress,
+		ListenHTTP:   founder.HTTPAddress,
+		Founders:     c.founders,
+		Hold:         holdBatch,
+		ReplaceAfter: replaceAfter,
+		JournalKeep:  journalKeep,
+		DrainDelay:   c.shape.DrainDelay,
+		DrainTimeout: drainTimeout,
+		Policy:       pimplace.PolicyInterference,
+		MaxSends:     maxSends,
+		LogSample:    1,
+	}, c.logger)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.daemons[founder.Name] = &process{
+		name: founder.Name, cancel: cancel, daemon: daemon, done: pimroutine.Start(ctx, daemon.Run),
+	}
+	return nil
+}
+
+func (c *Cluster) run(name string, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.platform = append(c.platform, &process{name: name, cancel: cancel, done: pimroutine.Start(ctx, f)})
+}
+
+func (c *Cluster) startEndpoints(domain string) error {
+	for _, service := range c.shape.Services {
+		for i := range c.shape.EndpointsPerKind {
+			endpoint, err := pimendpoint.NewEndpoint(pimendpoint.Settings{
+				ID:      fmt.Sprintf("%s-%s-%d", service, domain, i+1),
+				Service: service,
+				Domain:  domain,
+				Listen:  "127.0.0.1:0",
+				Slots:   c.shape.Slots,
+				Work:    c.shape.Work,
+				Seed:    c.shape.SeedOfTheStandins + uint64(i),
+			}, c.balancer, c.witness)
+			if err != nil {
+				return err
+			}
+			c.run("endpoint", endpoint.Run)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startWorkers(domain string) {
+	for i := range c.shape.WorkersPerDomain {
+		worker := pimworker.NewWorker(pimworker.Settings{
+			ID:       fmt.Sprintf("worker-%s-%d", domain, i+1),
+			Domain:   domain,
+			Rack:     fmt.Sprintf("rack-%s-%d", domain, i%max(c.shape.RacksPerDomain, 1)+1),
+			Capacity: c.shape.WorkerCapacity,
+		}, c.balancer, c.witness)
+		c.run("worker", worker.Run)
+	}
+}
+
+// StopDaemon stops one daemon gracefully and returns its error.
+func (c *Cluster) StopDaemon(name string) error {
+	p := c.daemons[name]
+	delete(c.daemons, name)
+	p.cancel()
+	return <-p.done
+}
+
+// KillDaemon ends one daemon as a crash would.
+func (c *Cluster) KillDaemon(name string) {
+	p := c.daemons[name]
+	delete(c.daemons, name)
+	p.daemon.Kill()
+	<-p.done
+	p.cancel()
+}
+
+// RestartDaemon starts a stopped daemon again on its data folder.
+func (c *Cluster) RestartDaemon(name string) error {
+	for _, founder := range c.founders {
+		if founder.Name == name {
+			return c.startDaemon(founder)
+		}
+	}
+	return nil
+}
+
+// Stop ends everything: stand-ins first, then the daemons, all at once.
+func (c *Cluster) Stop() {
+	for _, p := range c.platform {
+		p.cancel()
+	}
+	for _, p := range c.platform {
+		<-p.done
+	}
+	for _, p := range c.daemons {
+		p.daemon.Kill()
+	}
+	for _, p := range c.daemons {
+		<-p.done
+		p.cancel()
+	}
+}
--- /dev/null
+++ b/internal/measure/pimload/ask.go
@@ -0,0 +1,38 @@
+package pimload
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+)
+
+// AskEndpoints asks every known stand-in endpoint how often it ran each
+// request, and returns the sums and the number of endpoints asked.
+func AskEndpoints(ctx context.Context, balancer *pimplatform.Balancer) (map[string]int, int, error) {
+	var status pimdaemon.StatusBody
+	if err := balancer.Do(ctx, http.MethodGet, "/v1/status?tables=1", nil, &status); err != nil {
+		return nil, 0, err
+	}
+	counts := map[string]int{}
+	asked := 0
+	for _, tables := range status.Tables {
+		for _, endpoint := range tables.Endpoints {
+			data, err := balancer.GetFrom(ctx, endpoint.Address, "/executions")
+			if err != nil {
+				return nil, asked, err
+			}
+			var part map[string]int
+			if err := json.Unmarshal(data, &part); err != nil {
+				return nil, asked, err
+			}
+			for id, times := range part {
+				counts[id] += times
+			}
+			asked++
+		}
+	}
+	return counts, asked, nil
+}
--- /dev/null
+++ b/internal/measure/pimload/load.go
@@ -0,0 +1,276 @@
+// Package pimload sends callers' requests at a fixed rate and keeps what came of
+// each, to be compared with what the endpoints really ran.
+package pimload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/alitto/pond/v2"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+)
+
+type (
+	// Kind is one sort of request in the mix. Share is its weight in the mix.
+	Kind struct {
+		Service    string
+		Team       string
+		Priority   int
+		Idempotent bool
+		Deadline   time.Duration
+		Share      int
+	}
+
+	// Settings describe a run. Homes are the failure domains that request ids may name.
+	Settings struct {
+		Kinds    []Kind
+		Homes    []string
+		Rate     float64
+		Poisson  bool
+		Duration time.Duration
+		Seed     uint64
+		Callers  int
+	}
+
+	// Record is what came of one request.
+	Record struct {
+		RequestID  string
+		Idempotent bool
+		Outcome    pimrequest.Outcome
+		Name       string
+		Latency    time.Duration
+		ComeBacks  int
+	}
+
+	// Load is one run.
+	Load struct {
+		settings Settings
+		balancer *pimplatform.Balancer
+		pool     pond.Pool
+
+		mutex     sync.Mutex
+		records   []Record
+		histogram *hdrhistogram.Histogram
+		cutOff    int
+		shed      int
+	}
+
+	// Summary is the result of a run.
+	Summary struct {
+		Requests  int            `json:"requests"`
+		Outcomes  map[string]int `json:"outcomes"`
+		Codes     map[string]int `json:"codes"`
+		P50Millis float64        `json:"p50-millis"`
+		P99Millis float64        `json:"p99-millis"`
+		MaxMillis float64        `json:"max-millis"`
+		CutOff    int            `json:"connections-cut-off"`
+		ComeBacks int            `json:"come-backs"`
+		Shed      int            `json:"not-sent-by-load"`
+	}
+
+	// Verdict compares outcomes with what ran.
+	Verdict struct {
+		Doubled     int `json:"doubled"`
+		Lost        int `json:"lost"`
+		FalseNotRun int `json:"false-not-run"`
+		UnknownRan  int `json:"unknown-that-ran"`
+	}
+)
+
+const (
+	maxLatencyMicros = 600_000_000
+	significant      = 3
+	comeBackPause    = 100 * time.Millisecond
+	comeBackLimit    = 40
+	callGrace        = 3 * time.Second
+)
+
+// NewLoad returns a run that sends through the balancer.
+func NewLoad(settings Settings, balancer *pimplatform.Balancer) *Load {
+	return &Load{
+		settings:  settings,
+		balancer:  balancer,
+		pool:      pond.NewPool(settings.Callers, pond.WithQueueSize(4*settings.Callers), pond.WithNonBlocking(true)),
+		histogram: hdrhistogram.New(1, maxLatencyMicros, significant),
+	}
+}
+
+// Run sends at the given rate until the duration or the context ends, and waits for
+// all answers. A request's latency counts from when it was due, so a slow answer
+// does not hide the wait of those behind it.
+func (l *Load) Run(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(l.settings.Seed, 1))
+	started := time.Now()
+	due := started
+	for number := 0; due.Sub(started) < l.settings.Duration; number++ {
+		if !sleepUntil(ctx, due) {
+			break
+		}
+		kind := l.pick(random)
+		id := l.requestID(random, number)
+		at := due
+		if _, accepted := l.pool.TrySubmit(func() { l.send(kind, id, at) }); !accepted {
+			l.mutex.Lock()
+			l.shed++
+			l.mutex.Unlock()
+		}
+		due = due.Add(l.gap(random))
+	}
+	l.pool.StopAndWait()
+	return nil
+}
+
+func sleepUntil(ctx context.Context, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (l *Load) gap(random *rand.Rand) time.Duration {
+	mean := float64(time.Second) / l.settings.Rate
+	if l.settings.Poisson {
+		mean *= random.ExpFloat64()
+	}
+	return time.Duration(mean)
+}
+
+func (l *Load) pick(random *rand.Rand) Kind {
+	total := 0
+	for _, kind := range l.settings.Kinds {
+		total += kind.Share
+	}
+	at := random.IntN(total)
+	for _, kind := range l.settings.Kinds {
+		if at < kind.Share {
+			return kind
+		}
+		at -= kind.Share
+	}
+	return l.settings.Kinds[0]
+}
+
+func (l *Load) requestID(random *rand.Rand, number int) string {
+	home := l.settings.Homes[random.IntN(len(l.settings.Homes))]
+	return fmt.Sprintf("%s.load-%d-%d-%d", home, l.settings.Seed, time.Now().UnixNano(), number)
+}
+
+// send sends one request, and comes back with the same id while its fate is open.
+func (l *Load) send(kind Kind, id string, due time.Time) {
+	record := Record{RequestID: id, Idempotent: kind.Idempotent}
+	deadline := due.Add(kind.Deadline)
+	for {
+		answer, err := l.call(kind, id, max(time.Until(deadline), 100*time.Millisecond))
+		if err == nil {
+			record.Outcome, record.Name = pimrequest.Outcome(answer.Outcome), answer.Name
+		} else {
+			record.Outcome, record.Name = pimrequest.Unknown, "connection"
+			l.mutex.Lock()
+			l.cutOff++
+			l.mutex.Unlock()
+		}
+		open := err != nil || answer.Name == "in-progress" || answer.Name == "home-unreachable"
+		if !open || record.ComeBacks >= comeBackLimit {
+			break
+		}
+		record.ComeBacks++
+		time.Sleep(comeBackPause)
+	}
+	record.Latency = time.Since(due)
+	l.keep(record)
+}
+
+func (l *Load) keep(record Record) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.records = append(l.records, record)
+	if record.Outcome == pimrequest.Ran {
+		l.histogram.RecordValue(min(record.Latency.Microseconds(), maxLatencyMicros))
+	}
+}
+
+func (l *Load) call(kind Kind, id string, ttl time.Duration) (pimdaemon.AnswerBody, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), ttl+callGrace)
+	defer cancel()
+	body := pimdaemon.RequestBody{
+		RequestID:      id,
+		Idempotent:     &kind.Idempotent,
+		DeadlineMillis: ttl.Milliseconds(),
+		Priority:       kind.Priority,
+		Team:           kind.Team,
+		Payload:        json.RawMessage(`{"call":"` + id + `"}`),
+	}
+	var answer pimdaemon.AnswerBody
+	err := l.balancer.Do(ctx, http.MethodPost, "/v1/services/"+kind.Service+"/requests", body, &answer)
+	var status *pimplatform.StatusError
+	if errors.As(err, &status) && json.Unmarshal(status.Body, &answer) == nil && answer.Outcome != "" {
+		return answer, nil
+	}
+	return answer, err
+}
+
+// Records returns what came of each request.
+func (l *Load) Records() []Record {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Record(nil), l.records...)
+}
+
+// Summary returns the result so far.
+func (l *Load) Summary() Summary {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	s := Summary{
+		Requests:  len(l.records),
+		Outcomes:  map[string]int{},
+		Codes:     map[string]int{},
+		P50Millis: float64(l.histogram.ValueAtQuantile(50)) / 1000,
+		P99Millis: float64(l.histogram.ValueAtQuantile(99)) / 1000,
+		MaxMillis: float64(l.histogram.Max()) / 1000,
+		CutOff:    l.cutOff,
+		Shed:      l.shed,
+	}
+	for _, record := range l.records {
+		s.Outcomes[string(record.Outcome)]++
+		s.Codes[record.Name]++
+		s.ComeBacks += record.ComeBacks
+	}
+	return s
+}
+
+// Judge compares each outcome with how often the request ran.
+func Judge(records []Record, ran func(requestID string) int) Verdict {
+	var v Verdict
+	for _, record := range records {
+		times := ran(record.RequestID)
+		switch {
+		case !record.Idempotent && times > 1:
+			v.Doubled++
+		case record.Outcome == pimrequest.Ran && times == 0:
+			v.Lost++
+		case record.Outcome == pimrequest.NotRun && times > 0 && !record.Idempotent:
+			v.FalseNotRun++
+		case record.Outcome == pimrequest.Unknown && times > 0:
+			v.UnknownRan++
+		}
+	}
+	return v
+}
+
+// RunIn starts the run in a goroutine.
+func (l *Load) RunIn(ctx context.Context) <-chan error { return pimroutine.Start(ctx, l.Run) }
--- /dev/null
+++ b/internal/member/pimpeer/transport.go
@@ -0,0 +1,307 @@
+package pimpeer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+)
+
+type (
+	// Receive takes in a message that came from another daemon.
+	Receive func(from, to string, message pimmessage.Peer)
+
+	// Counters counts what the transport did.
+	Counters struct {
+		Sent, Received, BytesSent, BytesReceived, Refused, Dials, Silent atomic.Int64
+	}
+
+	// Transport sends to and receives from the other daemons.
+	Transport struct {
+		self     string
+		listener net.Listener
+		receive  Receive
+		counters Counters
+
+		mutex sync.Mutex
+		peers map[string]*outgoing
+	}
+
+	// outgoing is the connection to one peer. Its pool has one worker, so frames keep
+	// their order, and a bounded queue, so a silent peer costs bounded memory.
+	outgoing struct {
+		transport *Transport
+		address   string
+		pool      pond.Pool
+
+		mutex    sync.Mutex
+		conn     net.Conn
+		lastPong time.Time
+		pings    uint64
+		failures int
+		retryAt  time.Time
+	}
+)
+
+// Timing and limits of connections.
+const (
+	DialTimeout  = 500 * time.Millisecond
+	WriteTimeout = time.Second
+	PingInterval = 500 * time.Millisecond
+	PongTimeout  = 1500 * time.Millisecond
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 2 * time.Second
+	queueLength  = 4096
+	maxIncoming  = 1024
+	idleTimeout  = 10 * time.Second
+)
+
+// NewTransport listens on address.
+func NewTransport(self, address string, receive Receive) (*Transport, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, pimcode.New(pimcode.AddressInUse, "listen-peer %q: %v", address, err)
+	}
+	return &Transport{self: self, listener: listener, receive: receive, peers: map[string]*outgoing{}}, nil
+}
+
+// Address returns the address that the transport listens on.
+func (t *Transport) Address() string { return t.listener.Addr().String() }
+
+// Counters returns the transport's counters.
+func (t *Transport) Counters() *Counters { return &t.counters }
+
+// Run accepts connections and pings peers until the context ends.
+func (t *Transport) Run(ctx context.Context) error {
+	closed := pimroutine.Start(ctx, func(ctx context.Context) error {
+		<-ctx.Done()
+		return t.listener.Close()
+	})
+	pings := pimroutine.Start(ctx, t.pingLoop)
+	err := t.acceptLoop(ctx)
+	<-closed
+	<-pings
+	t.closePeers()
+	return err
+}
+
+func (t *Transport) acceptLoop(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, maxIncoming)
+	for {
+		conn, err := t.listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(backoffFirst)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			conn.Close()
+			continue
+		}
+		running.Go(func() {
+			t.readLoop(ctx, conn)
+			<-slots
+		})
+	}
+}
+
+// readLoop reads frames of one connection and answers pings.
+func (t *Transport) readLoop(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	defer conn.Close()
+	reader := bufio.NewReaderSize(conn, 64<<10)
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			return
+		}
+		frame, err := ReadFrame(reader)
+		if err != nil {
+			return
+		}
+		t.counters.Received.Add(1)
+		t.counters.BytesReceived.Add(int64(len(frame.Body)))
+		if len(frame.Body) == 0 {
+			if writeFrame(conn, Frame{Ping: frame.Ping}) != nil {
+				return
+			}
+			continue
+		}
+		message, err := pimmessage.DecodePeer(frame.Body)
+		if err != nil {
+			return
+		}
+		t.receive(frame.From, frame.To, message)
+	}
+}
+
+func writeFrame(conn net.Conn, frame Frame) error {
+	data, err := EncodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil {
+		return err
+	}
+	_, err = conn.Write(data)
+	return err
+}
+
+// Send queues a message to a peer. It never blocks; a full queue drops the message,
+// which every protocol above repeats.
+func (t *Transport) Send(address, to string, message pimmessage.Peer) {
+	o := t.peerAt(address)
+	_, accepted := o.pool.TrySubmit(func() { o.write(to, message) })
+	if !accepted {
+		t.counters.Refused.Add(1)
+	}
+}
+
+func (t *Transport) peerAt(address string) *outgoing {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	o := t.peers[address]
+	if o == nil {
+		pool := pond.NewPool(1, pond.WithQueueSize(queueLength), pond.WithNonBlocking(true))
+		o = &outgoing{transport: t, address: address, pool: pool}
+		t.peers[address] = o
+	}
+	return o
+}
+
+func (t *Transport) closePeers() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, o := range t.peers {
+		o.pool.StopAndWait()
+		o.drop(nil)
+	}
+}
+
+func (t *Transport) pingLoop(ctx context.Context) error {
+	ticker := time.NewTicker(PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			t.pingAll()
+		}
+	}
+}
+
+func (t *Transport) pingAll() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, o := range t.peers {
+		o.pool.TrySubmit(o.ping)
+	}
+}
+
+// connection returns the open connection, or dials unless it failed a moment ago.
+func (o *outgoing) connection() net.Conn {
+	o.mutex.Lock()
+	conn, retryAt := o.conn, o.retryAt
+	o.mutex.Unlock()
+	if conn != nil {
+		return conn
+	}
+	if time.Now().Before(retryAt) {
+		return nil
+	}
+	o.transport.counters.Dials.Add(1)
+	conn, err := net.DialTimeout("tcp", o.address, DialTimeout)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if err != nil {
+		o.failures++
+		wait := min(backoffMost, backoffFirst<<min(o.failures, 6))
+		o.retryAt = time.Now().Add(wait/2 + rand.N(wait/2))
+		return nil
+	}
+	o.failures = 0
+	o.conn = conn
+	o.lastPong = time.Now()
+	go o.pongLoop(conn)
+	return conn
+}
+
+// pongLoop reads what comes back on a connection. It ends when the connection is
+// closed, which drop and ping see to.
+func (o *outgoing) pongLoop(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := ReadFrame(reader); err != nil {
+			o.drop(conn)
+			return
+		}
+		o.mutex.Lock()
+		o.lastPong = time.Now()
+		o.mutex.Unlock()
+	}
+}
+
+// drop closes the connection if it is still the given one, or any for nil.
+func (o *outgoing) drop(conn net.Conn) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.conn != nil && (conn == nil || o.conn == conn) {
+		o.conn.Close()
+		o.conn = nil
+	}
+}
+
+func (o *outgoing) write(to string, message pimmessage.Peer) {
+	conn := o.connection()
+	if conn == nil {
+		return
+	}
+	body, err := pimmessage.Encode(message)
+	if err != nil {
+		return
+	}
+	err = writeFrame(conn, Frame{From: o.transport.self, To: to, Body: body})
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		o.drop(conn)
+		return
+	}
+	o.transport.counters.Sent.Add(1)
+	o.transport.counters.BytesSent.Add(int64(len(body)))
+}
+
+// ping probes an open connection and drops one that was silent for too long.
+func (o *outgoing) ping() {
+	o.mutex.Lock()
+	conn, silence := o.conn, time.Since(o.lastPong)
+	o.pings++
+	number := o.pings
+	o.mutex.Unlock()
+	if conn == nil {
+		return
+	}
+	if silence > PongTimeout {
+		o.transport.counters.Silent.Add(1)
+		o.drop(conn)
+		return
+	}
+	if writeFrame(conn, Frame{Ping: number}) != nil {
+		o.drop(conn)
+	}
+}
--- /dev/null
+++ b/internal/node/pimcore/calls.go
@@ -0,0 +1,221 @@
+package pimcore
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+)
+
+type (
+	// origin tells who waits for a call's answer.
+	origin interface{ isOrigin() }
+
+	externalOrigin struct{ token uint64 }
+
+	journalOrigin struct{ row uint64 }
+
+	slotOrigin struct {
+		domain  string
+		attempt string
+	}
+
+	forwardOrigin struct {
+		from string
+		id   uint64
+	}
+
+	noOrigin struct{}
+
+	// pendingCall is a question to a group's leader that has no answer yet. It is
+	// sent again when the leader changes or stays silent; every call is idempotent.
+	pendingCall struct {
+		id       uint64
+		group    string
+		call     pimmessage.Call
+		origin   origin
+		deadline time.Duration
+		againAt  time.Duration
+		sentTo   pimmessage.LeaderHint
+	}
+)
+
+func (externalOrigin) isOrigin() {}
+func (journalOrigin) isOrigin()  {}
+func (slotOrigin) isOrigin()     {}
+func (forwardOrigin) isOrigin()  {}
+func (noOrigin) isOrigin()       {}
+
+func (n *Node) startCall(group string, call pimmessage.Call, ttl time.Duration, from origin) {
+	if announce, ok := call.(pimmessage.Announce); ok {
+		n.announcements[announce.Announcement.ID] = heardAnnouncement{announcement: announce.Announcement, heardAt: n.now}
+	}
+	n.lastCall++
+	c := &pendingCall{id: n.lastCall, group: group, call: call, origin: from, deadline: n.now + ttl}
+	n.calls[c.id] = c
+	n.sendCall(c)
+}
+
+// sendCall hands a call to the leader of its group, wherever that is.
+func (n *Node) sendCall(c *pendingCall) {
+	c.againAt = n.now + callRetry
+	hint := n.leaderOf(c.group)
+	c.sentTo = hint
+	switch {
+	case hint.ID == "":
+		c.againAt = n.now + callPause
+	case hint.ID == n.config.Member.ID:
+		n.handleCall(n.config.Member.ID, c.id, c.group, c.call)
+	default:
+		body, err := pimmessage.Encode(c.call)
+		if err != nil {
+			n.completeCall(c.id, pimcode.Of(err), err.Error(), nil)
+			return
+		}
+		n.send(hint.ID, pimmessage.CallRequest{ID: c.id, Group: c.group, Body: body})
+	}
+}
+
+// leaderOf returns the leader of a group with the highest term that is known.
+func (n *Node) leaderOf(group string) pimmessage.LeaderHint {
+	best := pimmessage.LeaderHint{}
+	if g := n.groups[group]; g != nil && g.replica.LeaderID() != "" {
+		best = pimmessage.LeaderHint{ID: g.replica.LeaderID(), Term: g.replica.Term()}
+	}
+	for _, p := range n.peers {
+		hint := p.gossip.Leaders[group]
+		if n.now-p.heardAt <= PeerSilence && hint.ID != "" && hint.Term > best.Term {
+			best = hint
+		}
+	}
+	return best
+}
+
+func (n *Node) tickCalls() {
+	for _, id := range slices.Sorted(maps.Keys(n.calls)) {
+		c := n.calls[id]
+		switch {
+		case c == nil:
+		case n.now >= c.deadline:
+			n.completeCall(id, n.silenceCode(c), "the leader of "+c.group+" did not answer", nil)
+		case n.now >= c.againAt || n.leaderChanged(c):
+			n.sendCall(c)
+		}
+	}
+}
+
+func (n *Node) silenceCode(c *pendingCall) pimcode.Code {
+	if n.leaderOf(c.group).ID == "" {
+		return pimcode.NoLeader
+	}
+	return pimcode.CallTimeout
+}
+
+func (n *Node) leaderChanged(c *pendingCall) bool {
+	hint := n.leaderOf(c.group)
+	return hint.ID != "" && hint != c.sentTo && hint.Term > c.sentTo.Term
+}
+
+func (n *Node) onCallRequest(from string, m pimmessage.CallRequest) {
+	call, err := pimmessage.DecodeCall(m.Body)
+	if err != nil {
+		n.respondCode(from, m.ID, pimcode.Of(err), err.Error())
+		return
+	}
+	if join, ok := call.(pimmessage.Join); ok {
+		n.learnJoiner(join)
+		if n.leaderOf(ConfigGroup).ID != n.config.Member.ID {
+			n.startCall(m.Group, call, joinInterval, forwardOrigin{from: from, id: m.ID})
+			return
+		}
+	}
+	n.handleCall(from, m.ID, m.Group, call)
+}
+
+// respond answers a call, here or at another daemon.
+func (n *Node) respond(from string, id uint64, reply pimmessage.Reply) {
+	n.answer(from, id, pimcode.OK, "", reply)
+}
+
+func (n *Node) respondCode(from string, id uint64, code pimcode.Code, detail string) {
+	n.answer(from, id, code, detail, nil)
+}
+
+func (n *Node) answer(from string, id uint64, code pimcode.Code, detail string, reply pimmessage.Reply) {
+	if from == "" {
+		return
+	}
+	if from == n.config.Member.ID {
+		n.completeCall(id, code, detail, reply)
+		return
+	}
+	message := pimmessage.CallReply{ID: id, Code: code, Detail: detail}
+	if reply != nil {
+		body, err := pimmessage.Encode(reply)
+		if err != nil {
+			message.Code, message.Detail = pimcode.Of(err), err.Error()
+		}
+		message.Body = body
+	}
+	n.send(from, message)
+}
+
+func (n *Node) onCallReply(_ string, m pimmessage.CallReply) {
+	if m.Code != pimcode.OK || len(m.Body) == 0 {
+		n.completeCall(m.ID, m.Code, m.Detail, nil)
+		return
+	}
+	reply, err := pimmessage.DecodeReply(m.Body)
+	if err != nil {
+		n.completeCall(m.ID, pimcode.Of(err), err.Error(), nil)
+		return
+	}
+	n.completeCall(m.ID, pimcode.OK, "", reply)
+}
+
+// completeCall brings an answer to who asked, or tries again where the leader was the wrong one.
+func (n *Node) completeCall(id uint64, code pimcode.Code, detail string, reply pimmessage.Reply) {
+	c := n.calls[id]
+	if c == nil {
+		return
+	}
+	again := code == pimcode.NotLeader || code == pimcode.LeadershipLost || code == pimcode.NoLeader
+	if again && n.now < c.deadline {
+		c.againAt = n.now + callPause
+		return
+	}
+	if slot, ok := reply.(pimmessage.SlotReply); ok && !n.acceptsSlot(c, slot.Reply) {
+		return
+	}
+	delete(n.calls, id)
+	if joined, ok := reply.(pimmessage.Joined); ok && n.clusterID == "" {
+		n.adoptCluster(joined.ClusterID)
+	}
+	switch o := c.origin.(type) {
+	case externalOrigin:
+		n.emit(AnswerCall{Token: o.token, Code: code, Detail: detail, Reply: reply})
+	case journalOrigin:
+		journaled, _ := reply.(pimmessage.Journaled)
+		n.onJournaled(o.row, journaled.Result, code)
+	case slotOrigin:
+		if code != pimcode.OK {
+			n.router.OnSlot(n.now, o.domain, pimslot.Reply{Attempt: o.attempt, Code: code, Term: ^uint64(0)})
+		}
+	case forwardOrigin:
+		n.answer(o.from, o.id, code, detail, reply)
+	}
+}
+
+// acceptsSlot hands a slot's answer to the router, unless a replaced leader gave it.
+func (n *Node) acceptsSlot(c *pendingCall, reply pimslot.Reply) bool {
+	o, ok := c.origin.(slotOrigin)
+	return !ok || n.router.OnSlot(n.now, o.domain, reply)
+}
+
+func (n *Node) onJournaled(row uint64, result pimdomain.Result, code pimcode.Code) {
+	n.router.OnJournal(n.now, row, result, code)
+}
--- /dev/null
+++ b/internal/node/pimcore/domain_lead.go
@@ -0,0 +1,358 @@
+package pimcore
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimowner"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+)
+
+// domainLead is what only the leader of a domain group holds: the endpoint table
+// with its slots, and the worker table.
+type domainLead struct {
+	group    *group
+	term     uint64
+	slots    *pimslot.Allocator
+	placer   *pimplace.Placer
+	acquires map[string]waiter
+	owned    map[pimconfig.TaskID]pimplace.Owned
+	ownedAt  uint64
+	tickAt   time.Duration
+	reportAt time.Duration
+	clockAt  time.Duration
+}
+
+func (n *Node) noteDomainLead(g *group, ready bool) {
+	lead := n.domains[g.domain]
+	if lead != nil && (!g.replica.IsLeader() || lead.term != g.replica.Term()) {
+		delete(n.domains, g.domain)
+		lead = nil
+	}
+	if lead == nil && ready {
+		n.domains[g.domain] = n.newDomainLead(g)
+	}
+}
+
+func (n *Node) newDomainLead(g *group) *domainLead {
+	var others []string
+	for _, member := range n.state.MembersOf("") {
+		if member.ID != n.config.Member.ID {
+			others = append(others, member.ID)
+		}
+	}
+	term := g.replica.Term()
+	lead := &domainLead{
+		group:    g,
+		term:     term,
+		slots:    pimslot.NewAllocator(term, n.now, others),
+		placer:   pimplace.NewPlacer(n.now, n.config.Policy),
+		acquires: map[string]waiter{},
+		clockAt:  n.now + clockInterval,
+	}
+	lead.slots.SetOutOfService(n.state.IsOut(g.domain))
+	query := pimmessage.LedgerQuery{Domain: g.domain, Term: term}
+	for _, id := range others {
+		n.send(id, query)
+	}
+	own := n.ledger(query)
+	lead.slots.Recover(n.now, n.config.Member.ID, own.Credits, own.Announcements)
+	return lead
+}
+
+// ledger tells which credits of a failure domain this daemon holds, and which
+// announcements it passed on lately.
+func (n *Node) ledger(m pimmessage.LedgerQuery) pimmessage.LedgerReply {
+	reply := pimmessage.LedgerReply{Domain: m.Domain, Term: m.Term}
+	reply.Credits = n.router.Held(n.now, m.Domain, m.Term)
+	for _, id := range slices.Sorted(maps.Keys(n.announcements)) {
+		heard := n.announcements[id]
+		if heard.announcement.Domain == m.Domain && n.now-heard.heardAt <= pimslot.ExpireAfter {
+			reply.Announcements = append(reply.Announcements, heard.announcement)
+		}
+	}
+	return reply
+}
+
+func (n *Node) onLedgerQuery(from string, m pimmessage.LedgerQuery) {
+	n.send(from, n.ledger(m))
+}
+
+func (n *Node) onLedgerReply(from string, m pimmessage.LedgerReply) {
+	if lead := n.domains[m.Domain]; lead != nil && lead.term == m.Term {
+		lead.slots.Recover(n.now, from, m.Credits, m.Announcements)
+	}
+}
+
+// settleSlots brings granted and refused slots to who asked.
+func (n *Node) settleSlots() bool {
+	moved := false
+	for _, domain := range slices.Sorted(maps.Keys(n.domains)) {
+		lead := n.domains[domain]
+		for _, reply := range lead.slots.Take() {
+			moved = true
+			w, ok := lead.acquires[reply.Attempt]
+			delete(lead.acquires, reply.Attempt)
+			if ok {
+				n.respond(w.from, w.id, pimmessage.SlotReply{Reply: reply})
+			}
+		}
+	}
+	return moved
+}
+
+func (n *Node) tickLeads() {
+	for _, domain := range slices.Sorted(maps.Keys(n.domains)) {
+		lead := n.domains[domain]
+		if !lead.group.replica.Ready(n.now) {
+			continue
+		}
+		lead.slots.Tick(n.now)
+		if n.now >= lead.tickAt {
+			lead.tickAt = n.now + pimplace.TickInterval
+			lead.placer.Tick(n.now, n.viewOf(lead))
+			n.proposePlacements(lead)
+		}
+		if n.now >= lead.reportAt {
+			lead.reportAt = n.now + reportInterval
+			n.reportDomain(lead)
+		}
+		n.advanceClock(lead)
+	}
+	n.tickConfigLead()
+	maps.DeleteFunc(n.announcements, func(_ string, h heardAnnouncement) bool {
+		return n.now-h.heardAt > pimslot.ExpireAfter
+	})
+}
+
+func (n *Node) advanceClock(lead *domainLead) {
+	if n.now < lead.clockAt {
+		return
+	}
+	lead.clockAt = n.now + clockInterval
+	data, err := pimdomain.Encode(pimdomain.AdvanceClock{By: clockInterval, Keep: n.config.JournalKeep})
+	n.propose(lead.group, data, err, "", 0)
+}
+
+// viewOf returns what the placer sees. Starts need a current configuration in which
+// the failure domain is in service.
+func (n *Node) viewOf(lead *domainLead) pimplace.View {
+	if lead.owned == nil || lead.ownedAt != n.state.Version {
+		lead.owned = n.ownedBy(lead.group.domain)
+		lead.ownedAt = n.state.Version
+	}
+	return pimplace.View{
+		Owned:         lead.owned,
+		State:         lead.group.tables,
+		Applied:       lead.group.replica.Applied(),
+		StartsAllowed: n.HasConfigLease() && !n.state.IsOut(lead.group.domain) && !n.draining,
+		HoldBatch:     n.holdsBatch(),
+	}
+}
+
+func (n *Node) ownedBy(domain string) map[pimconfig.TaskID]pimplace.Owned {
+	owned := map[pimconfig.TaskID]pimplace.Owned{}
+	specs := map[string]pimplace.Spec{}
+	for _, s := range n.state.Manifest.Services {
+		specs[s.Name] = pimplace.Spec{Service: true, Priority: s.Priority, Team: s.Team, Needs: s.Needs}
+	}
+	for _, b := range n.state.Manifest.BatchJobs {
+		specs[b.Name] = pimplace.Spec{Team: b.Team, Needs: b.Needs, RunTime: b.RunTime, Checkpoint: b.Checkpoint}
+	}
+	for id, owner := range n.state.Owners {
+		if owner.Domain != domain {
+			continue
+		}
+		spec, declared := specs[id.Job]
+		if !declared {
+			owner.Releasing = true
+		}
+		owned[id] = pimplace.Owned{Owner: owner, Spec: spec}
+	}
+	return owned
+}
+
+func (n *Node) proposePlacements(lead *domainLead) {
+	proposals, decisions := lead.placer.Take()
+	for _, command := range proposals {
+		data, err := pimdomain.Encode(command)
+		lead.placer.Proposed(command, n.propose(lead.group, data, err, "", 0))
+	}
+	for _, decision := range decisions {
+		n.emit(LogPlacement{Decision: decision, Version: n.state.Version})
+	}
+}
+
+// reportDomain tells the configuration leader what ended here and how much room there is.
+func (n *Node) reportDomain(lead *domainLead) {
+	report := pimowner.Report{Domain: lead.group.domain, Running: map[string]int{}}
+	for _, worker := range lead.placer.Workers() {
+		report.Workers++
+		report.Capacity = report.Capacity.Add(worker.Capacity)
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(lead.group.tables.Tasks), pimconfig.CompareTasks) {
+		row := lead.group.tables.Tasks[id]
+		ended := pimowner.Ended{Task: id, Epoch: row.Epoch, Checkpoint: row.Checkpoint}
+		switch {
+		case row.Worker != "":
+			report.Running[id.Job]++
+		case row.LastOutcome == pimdomain.OutcomeFinished:
+			report.Finished = append(report.Finished, ended)
+		case row.Released:
+			report.Released = append(report.Released, ended)
+		}
+	}
+	n.startCall(ConfigGroup, pimmessage.ReportDomain{Report: report}, reportInterval*2, noOrigin{})
+}
+
+// handleCall answers a call as the leader of its group.
+func (n *Node) handleCall(from string, id uint64, groupName string, call pimmessage.Call) {
+	g := n.groups[groupName]
+	if g == nil || !g.replica.Ready(n.now) || n.draining {
+		n.respondCode(from, id, pimcode.NotLeader, groupName)
+		return
+	}
+	if g.domain == "" {
+		n.handleConfigCall(from, id, g, call)
+		return
+	}
+	if n.domains[g.domain] == nil {
+		n.noteDomainLead(g, true)
+	}
+	n.handleDomainCall(from, id, n.domains[g.domain], call)
+}
+
+func (n *Node) handleDomainCall(from string, id uint64, lead *domainLead, call pimmessage.Call) {
+	switch c := call.(type) {
+	case pimmessage.Announce:
+		token, err := lead.slots.Announce(n.now, c.Announcement)
+		if err != nil {
+			n.respondCode(from, id, pimcode.Of(err), err.Error())
+			return
+		}
+		n.respond(from, id, pimmessage.Announced{Token: token})
+	case pimmessage.AcquireSlot:
+		lead.acquires[c.Acquire.Attempt] = waiter{from: from, id: id}
+		lead.slots.Acquire(n.now, c.Holder, c.Acquire)
+	case pimmessage.ReleaseSlot:
+		lead.slots.Release(n.now, c.Release)
+		delete(lead.acquires, c.Release.Attempt)
+		n.respond(from, id, pimmessage.Done{})
+	case pimmessage.ReportWorker:
+		n.handleReport(from, id, lead, c.Report)
+	case pimmessage.BeginRequest:
+		if result, known := lead.group.tables.Lookup(c.Command); known {
+			n.respond(from, id, pimmessage.Journaled{Result: result})
+			return
+		}
+		data, err := pimdomain.Encode(c.Command)
+		n.propose(lead.group, data, err, from, id)
+	case pimmessage.EndRequest:
+		data, err := pimdomain.Encode(c.Command)
+		n.propose(lead.group, data, err, from, id)
+	case pimmessage.QueryDomain:
+		n.respond(from, id, n.domainTables(lead))
+	default:
+		n.respondCode(from, id, pimcode.UnknownMessage, "not a call to a domain group")
+	}
+}
+
+func (n *Node) handleReport(from string, id uint64, lead *domainLead, report pimplace.Report) {
+	answer, err := lead.placer.Report(n.now, report, n.viewOf(lead))
+	n.proposePlacements(lead)
+	if err != nil {
+		n.respondCode(from, id, pimcode.Of(err), err.Error())
+		return
+	}
+	n.respond(from, id, pimmessage.Reported{Answer: answer})
+}
+
+func (n *Node) domainTables(lead *domainLead) pimmessage.DomainTables {
+	tables := pimmessage.DomainTables{
+		Leader:  n.config.Member.Name,
+		Running: map[string]int{},
+		Journal: len(lead.group.tables.Journal),
+	}
+	for _, endpoint := range lead.slots.Endpoints() {
+		tables.Endpoints = append(tables.Endpoints, pimmessage.EndpointRow{
+			ID:      endpoint.ID,
+			Service: endpoint.Service,
+			Address: endpoint.Address,
+			Slots:   endpoint.Slots,
+			Used:    len(endpoint.Credits) + endpoint.Foreign,
+			State:   endpoint.StateName(n.now),
+		})
+	}
+	counts := map[string]int{}
+	for id, row := range lead.group.tables.Tasks {
+		if row.Worker != "" {
+			counts[row.Worker]++
+			tables.Running[id.Job]++
+		}
+	}
+	for _, worker := range lead.placer.Workers() {
+		tables.Workers = append(tables.Workers, pimmessage.WorkerRow{
+			ID: worker.ID, Rack: worker.Rack, Tasks: counts[worker.ID],
+			Quarantined: lead.group.tables.Quarantined[worker.ID],
+		})
+	}
+	return tables
+}
+
+// drain hands over what this node leads and takes nothing new.
+func (n *Node) drain() {
+	n.draining = true
+	n.logEvent("", "drain", "handing over leadership")
+	n.handOver()
+}
+
+func (n *Node) handOver() {
+	for _, name := range n.groupNames() {
+		g := n.groups[name]
+		if !g.replica.IsLeader() {
+			continue
+		}
+		if to := n.successor(g); to != "" && !g.replica.IsTransferring() {
+			g.replica.TransferTo(n.now, to)
+		}
+	}
+}
+
+// successor returns the voter that has most of the log and was heard lately.
+func (n *Node) successor(g *group) string {
+	best, bestMatch := "", uint64(0)
+	for _, id := range g.replica.Members().Voters {
+		member := n.state.Members[id]
+		outside := g.domain != "" && member.Domain != g.domain
+		p := n.peers[id]
+		if id == n.config.Member.ID || outside || !n.isHeard(id) || (p != nil && p.gossip.Draining) {
+			continue
+		}
+		progress, ok := g.replica.ProgressOf(id)
+		if ok && (best == "" || progress.Match > bestMatch) {
+			best, bestMatch = id, progress.Match
+		}
+	}
+	return best
+}
+
+// IsDrained reports whether a draining node has answered every request and leads nothing
+// that another voter could lead.
+func (n *Node) IsDrained() bool {
+	if !n.draining || n.router.Len() > 0 {
+		return false
+	}
+	for _, g := range n.groups {
+		if g.replica.Role() == pimconsensus.Leader && n.successor(g) != "" {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/node/pimcore/groups.go
@@ -0,0 +1,262 @@
+package pimcore
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// group is one replica with its state machine and those who wait for entries.
+	group struct {
+		name    string
+		domain  string
+		replica *pimconsensus.Replica
+		tables  *pimdomain.State
+		waiting map[uint64]waiter
+		role    pimconsensus.Role
+	}
+
+	// waiter is a call that is answered when its entry is applied.
+	waiter struct {
+		term uint64
+		from string
+		id   uint64
+	}
+)
+
+// openGroup creates the replica of a group from what is saved.
+func (n *Node) openGroup(name string, saved pimconsensus.Saved) error {
+	domain, isDomain := domainOfGroup(name)
+	g := &group{name: name, domain: domain, waiting: map[uint64]waiter{}}
+	g.replica = pimconsensus.NewReplica(pimconsensus.Config{
+		ID:         n.config.Member.ID,
+		Boot:       n.config.Boot,
+		Seed:       n.config.Seed + uint64(len(name)),
+		NeverLeads: isDomain && domain != n.config.Member.Domain,
+	}, saved, n.now)
+	n.groups[name] = g
+	return n.restore(g, saved.Snapshot.Data)
+}
+
+func (n *Node) restore(g *group, data []byte) error {
+	if g.domain != "" {
+		tables, err := pimdomain.Restore(data)
+		g.tables = tables
+		return err
+	}
+	state, err := pimconfig.Restore(data)
+	if err == nil {
+		n.state = state
+	}
+	return err
+}
+
+func (n *Node) onConsensus(from string, m pimmessage.Consensus) {
+	if n.clusterID == "" {
+		return
+	}
+	message, err := pimmessage.DecodeConsensus(m.Body)
+	if err != nil {
+		n.logEvent(m.Group, "bad-message", err.Error())
+		return
+	}
+	if n.groups[m.Group] == nil && !n.openBlank(m.Group, message) {
+		return
+	}
+	n.groups[m.Group].replica.Step(n.now, from, message)
+}
+
+// openBlank creates a replica that a leader wants to fill. Votes create nothing.
+func (n *Node) openBlank(name string, message pimconsensus.Message) bool {
+	switch message.(type) {
+	case pimconsensus.AppendRequest, pimconsensus.SnapshotRequest:
+	default:
+		return false
+	}
+	_, isDomain := domainOfGroup(name)
+	if name != ConfigGroup && !isDomain {
+		return false
+	}
+	return n.openGroup(name, pimconsensus.Saved{}) == nil
+}
+
+// settleGroups emits what the replicas want persisted and sent, and applies what is committed.
+func (n *Node) settleGroups() bool {
+	moved := false
+	for _, name := range n.groupNames() {
+		g := n.groups[name]
+		output := g.replica.Take()
+		moved = n.carryOut(g, output) || moved
+		n.noteRole(g)
+	}
+	return moved
+}
+
+func (n *Node) carryOut(g *group, output pimconsensus.Output) bool {
+	n.persist(g, output)
+	for _, envelope := range output.Immediate {
+		if peer, ok := n.consensusPeer(g, envelope); ok {
+			n.emit(peer)
+		}
+	}
+	if output.Restore != nil {
+		if err := n.restore(g, output.Restore.Data); err != nil {
+			n.logEvent(g.name, "bad-snapshot", err.Error())
+		}
+	}
+	for _, entry := range output.Committed {
+		n.apply(g, entry)
+	}
+	if len(output.Committed) > 0 {
+		n.compact(g)
+	}
+	return len(output.Committed) > 0 || output.Restore != nil
+}
+
+func (n *Node) persist(g *group, output pimconsensus.Output) {
+	command := Persist{Group: g.name, Batch: pimlog.Batch{Hard: output.Hard, Entries: output.Entries}, Snapshot: output.Install}
+	for _, envelope := range output.Durable {
+		if peer, ok := n.consensusPeer(g, envelope); ok {
+			command.Then = append(command.Then, peer)
+		}
+	}
+	if len(output.Entries) > 0 {
+		last := output.Entries[len(output.Entries)-1]
+		command.Index, command.Term = last.Index, last.Term
+	}
+	empty := output.Hard == nil && len(output.Entries) == 0 && output.Install == nil
+	if !empty || len(command.Then) > 0 {
+		n.emit(command)
+	}
+}
+
+func (n *Node) consensusPeer(g *group, envelope pimconsensus.Envelope) (SendPeer, bool) {
+	body, err := pimmessage.Encode(envelope.Message)
+	address := n.addressOf(envelope.To)
+	if err != nil || address == "" {
+		return SendPeer{}, false
+	}
+	return SendPeer{Address: address, To: envelope.To, Message: pimmessage.Consensus{Group: g.name, Body: body}}, true
+}
+
+func (n *Node) apply(g *group, entry pimconsensus.Entry) {
+	w, waits := g.waiting[entry.Index]
+	delete(g.waiting, entry.Index)
+	if entry.Kind != pimconsensus.EntryCommand {
+		if waits {
+			n.respondCode(w.from, w.id, pimcode.LeadershipLost, "")
+		}
+		return
+	}
+	reply := n.applyCommand(g, entry)
+	switch {
+	case !waits:
+	case w.term != entry.Term:
+		n.respondCode(w.from, w.id, pimcode.LeadershipLost, "")
+	default:
+		n.respond(w.from, w.id, reply)
+	}
+}
+
+func (n *Node) applyCommand(g *group, entry pimconsensus.Entry) pimmessage.Reply {
+	if g.domain != "" {
+		return pimmessage.Journaled{Result: g.tables.Apply(entry.Data)}
+	}
+	result := n.state.Apply(entry.Index, entry.Data)
+	n.onConfigChange()
+	return pimmessage.Configured{Result: result}
+}
+
+// onConfigChange makes marks effective at once for what this node leads.
+func (n *Node) onConfigChange() {
+	for domain, lead := range n.domains {
+		lead.slots.SetOutOfService(n.state.IsOut(domain))
+	}
+}
+
+func (n *Node) compact(g *group) {
+	if g.replica.Applied()-g.replica.SnapshotIndex() < compactEvery {
+		return
+	}
+	data, err := n.snapshotOf(g)
+	if err != nil {
+		n.logEvent(g.name, "snapshot-failed", err.Error())
+		return
+	}
+	if snapshot, ok := g.replica.Compact(g.replica.Applied(), data); ok {
+		n.emit(Persist{Group: g.name, Snapshot: &snapshot})
+	}
+}
+
+func (n *Node) snapshotOf(g *group) ([]byte, error) {
+	if g.domain != "" {
+		return g.tables.Snapshot()
+	}
+	return n.state.Snapshot()
+}
+
+// noteRole starts and ends what only leaders do.
+func (n *Node) noteRole(g *group) {
+	role := g.replica.Role()
+	if role != g.role {
+		n.logEvent(g.name, "role", fmt.Sprintf("%s in term %d", role, g.replica.Term()))
+		g.role = role
+	}
+	if role != pimconsensus.Leader {
+		n.abandonWaiting(g)
+	}
+	leads := g.replica.Ready(n.now)
+	if g.domain != "" {
+		n.noteDomainLead(g, leads)
+		return
+	}
+	n.noteConfigLead(g, leads)
+}
+
+func (n *Node) abandonWaiting(g *group) {
+	for index, w := range g.waiting {
+		delete(g.waiting, index)
+		n.respondCode(w.from, w.id, pimcode.LeadershipLost, "")
+	}
+}
+
+// propose appends a command to a group; the call is answered when it is applied.
+func (n *Node) propose(g *group, data []byte, err error, from string, id uint64) uint64 {
+	if err != nil {
+		n.respondCode(from, id, pimcode.Of(err), err.Error())
+		return 0
+	}
+	index, term, err := g.replica.Propose(n.now, data)
+	if err != nil {
+		n.respondCode(from, id, pimcode.Of(err), err.Error())
+		return 0
+	}
+	if from != "" {
+		g.waiting[index] = waiter{term: term, from: from, id: id}
+	}
+	return index
+}
+
+// lastHeard returns when the leader of the configuration group last heard each failure domain.
+func (n *Node) lastHeard() map[string]time.Duration {
+	heard := map[string]time.Duration{}
+	replica := n.groups[ConfigGroup].replica
+	for id, member := range n.state.Members {
+		at := replica.LeaderSince()
+		if progress, ok := replica.ProgressOf(id); ok {
+			at = progress.HeardAt
+		}
+		if id == n.config.Member.ID {
+			at = n.now
+		}
+		heard[member.Domain] = max(heard[member.Domain], at)
+	}
+	return heard
+}
--- /dev/null
+++ b/internal/node/pimcore/members.go
@@ -0,0 +1,181 @@
+package pimcore
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+// gossip tells the other daemons who leads what, and that this one lives.
+func (n *Node) gossip() {
+	message := pimmessage.Gossip{
+		Member:    n.config.Member,
+		ClusterID: n.clusterID,
+		Leaders:   map[string]pimmessage.LeaderHint{},
+		Version:   n.state.Version,
+		Draining:  n.draining,
+	}
+	for name, g := range n.groups {
+		if g.replica.LeaderID() != "" {
+			message.Leaders[name] = pimmessage.LeaderHint{ID: g.replica.LeaderID(), Term: g.replica.Term()}
+		}
+	}
+	for _, address := range n.gossipAddresses() {
+		n.emit(SendPeer{Address: address, Message: message})
+	}
+	if n.draining {
+		n.handOver()
+	}
+}
+
+func (n *Node) gossipAddresses() []string {
+	addresses := map[string]bool{}
+	for _, member := range n.state.Members {
+		addresses[member.PeerAddress] = true
+	}
+	if len(n.state.Members) == 0 {
+		for _, founder := range n.config.Founders {
+			addresses[founder.PeerAddress] = true
+		}
+		for _, seed := range n.config.Seeds {
+			addresses[seed] = true
+		}
+	}
+	delete(addresses, n.config.Member.PeerAddress)
+	return slices.Sorted(maps.Keys(addresses))
+}
+
+func (n *Node) onGossip(m pimmessage.Gossip) {
+	if m.ClusterID != "" && n.clusterID != "" && m.ClusterID != n.clusterID {
+		n.logEvent("", "foreign-cluster", m.Member.ID)
+		return
+	}
+	n.peers[m.Member.ID] = &peer{gossip: m, heardAt: n.now}
+	n.founding[m.Member.Name] = m.Member
+	_, known := n.state.Members[m.Member.ID]
+	if n.clusterID != "" && !known && m.ClusterID == "" {
+		n.emit(SendPeer{Address: m.Member.PeerAddress, Message: pimmessage.Gossip{
+			Member: n.config.Member, ClusterID: n.clusterID, Leaders: map[string]pimmessage.LeaderHint{},
+		}})
+	}
+}
+
+// tickBlank founds a cluster with the full first set, or joins the one that it hears.
+//
+// The cluster id is a digest of the first members' ids, and each id holds a nonce
+// of its data folder. A daemon founds only when it knows all of them and nobody
+// says another cluster id, so a host that lost its disk joins and never founds again.
+func (n *Node) tickBlank() {
+	cluster, contact := n.heardCluster()
+	members := n.foundingMembers()
+	if len(members) > 0 {
+		id := clusterIDOf(members)
+		if cluster == "" || cluster == id {
+			n.found(id, members)
+			return
+		}
+	}
+	waits := len(n.config.Founders) > 0 && n.now-n.startedAt < joinAfter
+	if contact == "" || waits || n.now < n.joinAt {
+		return
+	}
+	n.joinAt = n.now + joinInterval
+	body, err := pimmessage.Encode(pimmessage.Join{Member: n.config.Member})
+	if err != nil {
+		return
+	}
+	n.lastCall++
+	n.calls[n.lastCall] = &pendingCall{id: n.lastCall, group: ConfigGroup, origin: noOrigin{}, deadline: n.now + joinInterval, againAt: n.now + joinInterval}
+	n.emit(SendPeer{Address: contact, Message: pimmessage.CallRequest{ID: n.lastCall, Group: ConfigGroup, Body: body}})
+}
+
+// heardCluster returns the cluster id that a peer ever told, and the address of a
+// member that was heard lately.
+func (n *Node) heardCluster() (string, string) {
+	cluster, contact := "", ""
+	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
+		p := n.peers[id]
+		if p.gossip.ClusterID == "" {
+			continue
+		}
+		cluster = p.gossip.ClusterID
+		if n.isHeard(id) {
+			contact = p.gossip.Member.PeerAddress
+		}
+	}
+	return cluster, contact
+}
+
+// foundingMembers returns all first members, or none while one is unknown.
+func (n *Node) foundingMembers() []pimconfig.Member {
+	var members []pimconfig.Member
+	for _, founder := range n.config.Founders {
+		member, ok := n.founding[founder.Name]
+		if founder.Name == n.config.Member.Name {
+			member, ok = n.config.Member, true
+		}
+		if !ok || member.Domain != founder.Domain {
+			return nil
+		}
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(a, b pimconfig.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+func clusterIDOf(members []pimconfig.Member) string {
+	hash := sha256.New()
+	for _, member := range members {
+		hash.Write([]byte(member.ID + "\n"))
+	}
+	return hex.EncodeToString(hash.Sum(nil))[:16]
+}
+
+func (n *Node) found(id string, members []pimconfig.Member) {
+	n.adoptCluster(id)
+	state := pimconfig.NewState(id, members)
+	data, err := state.Snapshot()
+	if err != nil {
+		n.logEvent("", "founding-failed", err.Error())
+		return
+	}
+	all := func(string) bool { return true }
+	n.foundGroup(ConfigGroup, chooseConfigVoters(state, nil, all), data)
+	for _, domain := range state.Domains() {
+		n.foundGroup(DomainGroup(domain), chooseDomainVoters(state, domain, nil, all), nil)
+	}
+}
+
+func (n *Node) foundGroup(name string, voters []string, data []byte) {
+	snapshot := pimconsensus.Founding(voters)
+	snapshot.Data = data
+	isVoter := slices.Contains(voters, n.config.Member.ID)
+	if !isVoter && name != ConfigGroup {
+		return
+	}
+	if err := n.openGroup(name, pimconsensus.Saved{Snapshot: snapshot}); err != nil {
+		n.logEvent(name, "founding-failed", err.Error())
+		return
+	}
+	n.emit(Persist{Group: name, Batch: pimlog.Batch{}, Snapshot: &snapshot})
+}
+
+func (n *Node) adoptCluster(id string) {
+	n.clusterID = id
+	n.emit(SaveIdentity{ClusterID: id})
+	n.logEvent("", "cluster", id)
+}
+
+// learnJoiner remembers the address of a daemon that is not a member yet.
+func (n *Node) learnJoiner(join pimmessage.Join) {
+	if n.peers[join.Member.ID] == nil {
+		n.peers[join.Member.ID] = &peer{gossip: pimmessage.Gossip{Member: join.Member}, heardAt: n.now}
+	}
+}
--- /dev/null
+++ b/internal/node/pimcore/node.go
@@ -0,0 +1,225 @@
+package pimcore
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+)
+
+type (
+	// Node is the decision core of one entry daemon.
+	Node struct {
+		config    Config
+		clusterID string
+		now       time.Duration
+		startedAt time.Duration
+		draining  bool
+
+		groups  map[string]*group
+		state   *pimconfig.State
+		domains map[string]*domainLead
+		lead    *configLead
+
+		peers         map[string]*peer
+		founding      map[string]pimconfig.Member
+		announcements map[string]heardAnnouncement
+		router        *pimrequest.Router
+		calls         map[uint64]*pendingCall
+		lastCall      uint64
+		lastRequest   uint64
+
+		gossipAt    time.Duration
+		reconcileAt time.Duration
+		joinAt      time.Duration
+		commands    []Command
+	}
+
+	// peer is what gossip told about another daemon.
+	peer struct {
+		gossip  pimmessage.Gossip
+		heardAt time.Duration
+	}
+
+	heardAnnouncement struct {
+		announcement pimslot.Announcement
+		heardAt      time.Duration
+	}
+)
+
+// NewNode returns a node that goes on from what its data folder holds.
+func NewNode(config Config, now time.Duration) (*Node, error) {
+	n := &Node{
+		config:        config,
+		clusterID:     config.ClusterID,
+		now:           now,
+		startedAt:     now,
+		groups:        map[string]*group{},
+		domains:       map[string]*domainLead{},
+		peers:         map[string]*peer{},
+		founding:      map[string]pimconfig.Member{},
+		announcements: map[string]heardAnnouncement{},
+		router:        pimrequest.NewRouter(fmt.Sprintf("%s-%x", config.Member.Name, config.Boot)),
+		calls:         map[uint64]*pendingCall{},
+	}
+	n.state = pimconfig.NewState(config.ClusterID, nil)
+	for _, name := range slices.Sorted(maps.Keys(config.Saved)) {
+		if err := n.openGroup(name, config.Saved[name]); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// Take returns the commands that are due and clears them.
+func (n *Node) Take() []Command {
+	commands := n.commands
+	n.commands = nil
+	return commands
+}
+
+func (n *Node) emit(command Command) { n.commands = append(n.commands, command) }
+
+func (n *Node) logEvent(group, event, detail string) {
+	n.emit(LogEvent{Group: group, Event: event, Detail: detail})
+}
+
+// Handle takes in one event at the given time.
+func (n *Node) Handle(now time.Duration, event Event) {
+	n.now = max(n.now, now)
+	switch e := event.(type) {
+	case Tick:
+		n.tick()
+	case PeerReceived:
+		n.onPeer(e)
+	case Persisted:
+		if g := n.groups[e.Group]; g != nil {
+			g.replica.Persisted(n.now, e.Index, e.Term)
+		}
+	case RequestReceived:
+		n.onRequest(e)
+	case StatusWanted:
+		n.emit(AnswerStatus{Token: e.Token, Status: n.Status()})
+	case AttemptEnded:
+		n.router.OnResult(n.now, e.Result)
+	case CallReceived:
+		n.startCall(e.Group, e.Call, e.TTL, externalOrigin{token: e.Token})
+	case Drain:
+		n.drain()
+	}
+	n.settle()
+}
+
+func (n *Node) tick() {
+	for _, name := range n.groupNames() {
+		n.groups[name].replica.Tick(n.now)
+	}
+	n.settle()
+	n.tickCalls()
+	n.router.Tick(n.now)
+	n.tickLeads()
+	if n.now >= n.gossipAt {
+		n.gossipAt = n.now + GossipInterval
+		n.gossip()
+	}
+	if n.clusterID == "" {
+		n.tickBlank()
+	} else if n.now >= n.reconcileAt {
+		n.reconcileAt = n.now + reconcileInterval
+		n.reconcileMembers()
+	}
+}
+
+func (n *Node) groupNames() []string { return slices.Sorted(maps.Keys(n.groups)) }
+
+// settle moves results between the parts until nothing is left to move.
+func (n *Node) settle() {
+	for range 100 {
+		moved := n.settleGroups()
+		moved = n.settleRouter() || moved
+		moved = n.settleSlots() || moved
+		if !moved {
+			return
+		}
+	}
+}
+
+func (n *Node) onPeer(e PeerReceived) {
+	if e.To != "" && e.To != n.config.Member.ID {
+		return
+	}
+	switch m := e.Message.(type) {
+	case pimmessage.Gossip:
+		n.onGossip(m)
+	case pimmessage.Consensus:
+		n.onConsensus(e.From, m)
+	case pimmessage.CallRequest:
+		n.onCallRequest(e.From, m)
+	case pimmessage.CallReply:
+		n.onCallReply(e.From, m)
+	case pimmessage.LedgerQuery:
+		n.onLedgerQuery(e.From, m)
+	case pimmessage.LedgerReply:
+		n.onLedgerReply(e.From, m)
+	}
+}
+
+// send sends a message to a member whose address is known.
+func (n *Node) send(to string, message pimmessage.Peer) {
+	if address := n.addressOf(to); address != "" {
+		n.emit(SendPeer{Address: address, To: to, Message: message})
+	}
+}
+
+func (n *Node) addressOf(id string) string {
+	if member, ok := n.state.Members[id]; ok {
+		return member.PeerAddress
+	}
+	if p := n.peers[id]; p != nil {
+		return p.gossip.Member.PeerAddress
+	}
+	return ""
+}
+
+// isHeard reports whether a daemon was heard lately.
+func (n *Node) isHeard(id string) bool {
+	p := n.peers[id]
+	return id == n.config.Member.ID || (p != nil && n.now-p.heardAt <= PeerSilence)
+}
+
+// configAge is the time since the applied configuration was known to be current.
+func (n *Node) configAge() time.Duration {
+	age := n.now - n.startedAt
+	if g := n.groups[ConfigGroup]; g != nil {
+		if asOf, ok := g.replica.CurrentAsOf(n.now); ok {
+			return n.now - asOf
+		}
+	}
+	return max(age, ConfigLease+time.Nanosecond)
+}
+
+// HasConfigLease reports whether the configuration is known to be current.
+func (n *Node) HasConfigLease() bool { return n.configAge() <= ConfigLease }
+
+// holdsBatch reports whether batch tasks of a cut-off failure domain may go on.
+func (n *Node) holdsBatch() bool {
+	if n.now-n.startedAt < bootGrace {
+		return true
+	}
+	return n.configAge() <= n.config.Hold
+}
+
+// domainOfGroup returns the failure domain of a domain group, or false for another group.
+func domainOfGroup(name string) (string, bool) {
+	domain, ok := strings.CutPrefix(name, domainGroupPrefix)
+	if !ok {
+		return "", false
+	}
+	return domain, true
+}
--- /dev/null
+++ b/internal/node/pimcore/requests.go
@@ -0,0 +1,127 @@
+package pimcore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+)
+
+// onRequest starts a caller's request.
+func (n *Node) onRequest(e RequestReceived) {
+	request := e.Request
+	if service, ok := n.state.Manifest.ServiceNamed(request.Service); ok && e.DeclaredIdempotent {
+		request.Idempotent = service.Idempotent
+	}
+	if code := n.refusal(request); code != pimcode.OK {
+		n.refuseRequest(request, code)
+		return
+	}
+	domains := n.servingDomains()
+	if code := n.setHome(&request, domains); code != pimcode.OK {
+		n.refuseRequest(request, code)
+		return
+	}
+	request.Weight = n.state.Manifest.TeamNamed(request.Team).Weight
+	n.router.Start(n.now, request, domains)
+}
+
+func (n *Node) refusal(request pimrequest.Request) pimcode.Code {
+	switch {
+	case n.draining:
+		return pimcode.Draining
+	case n.clusterID == "":
+		return pimcode.NoLeader
+	case n.config.RefuseCutOff && !n.HasConfigLease():
+		return pimcode.DomainOut
+	case request.TTL <= 0 || request.TTL > pimrequest.MaxTTL:
+		return pimcode.DeadlineMissing
+	case n.router.Len() >= maxRequests:
+		return pimcode.Overloaded
+	default:
+		return pimcode.OK
+	}
+}
+
+func (n *Node) refuseRequest(request pimrequest.Request, code pimcode.Code) {
+	n.emit(AnswerCaller{Token: request.Token, Answer: pimrequest.Answer{
+		RequestID: request.RequestID, Outcome: pimrequest.NotRun, Code: code, RetryAfter: GossipInterval,
+	}})
+}
+
+// setHome finds the failure domain whose journal holds the request. An id that the
+// daemon makes gets a home with a leader, so that the journal can be reached.
+func (n *Node) setHome(request *pimrequest.Request, domains []string) pimcode.Code {
+	if request.RequestID != "" {
+		request.Given = true
+		home, _, _ := strings.Cut(request.RequestID, ".")
+		request.Home = home
+		if !request.Idempotent && !slices.Contains(n.state.Domains(), home) {
+			return pimcode.RequestIDHome
+		}
+		return pimcode.OK
+	}
+	request.Home = n.config.Member.Domain
+	if len(domains) > 0 && n.leaderOf(DomainGroup(request.Home)).ID == "" {
+		request.Home = domains[0]
+	}
+	n.lastRequest++
+	request.RequestID = fmt.Sprintf("%s.%s-%x-%d", request.Home, n.config.Member.Name, n.config.Boot, n.lastRequest)
+	return pimcode.OK
+}
+
+// servingDomains returns the failure domains that take requests and whose leader is
+// known, this daemon's own first; or its own alone where no leader is known.
+func (n *Node) servingDomains() []string {
+	var domains []string
+	all := n.state.Domains()
+	own := slices.Index(all, n.config.Member.Domain)
+	for i := range all {
+		domain := all[(max(own, 0)+i)%len(all)]
+		if !n.state.IsOut(domain) && n.leaderOf(DomainGroup(domain)).ID != "" {
+			domains = append(domains, domain)
+		}
+	}
+	if len(domains) == 0 && !n.state.IsOut(n.config.Member.Domain) {
+		domains = append(domains, n.config.Member.Domain)
+	}
+	return domains
+}
+
+// settleRouter carries out what the router wants done.
+func (n *Node) settleRouter() bool {
+	actions := n.router.Take()
+	for _, action := range actions {
+		switch a := action.(type) {
+		case pimrequest.BeginJournal:
+			n.startCall(DomainGroup(a.Domain), pimmessage.BeginRequest{Command: a.Begin}, a.TTL, journalOrigin{row: a.Row})
+		case pimrequest.EndJournal:
+			n.startCall(DomainGroup(a.Domain), pimmessage.EndRequest{Command: a.End}, endJournalTTL, noOrigin{})
+		case pimrequest.AskSlot:
+			call := pimmessage.AcquireSlot{Holder: n.config.Member.ID, Acquire: a.Acquire}
+			n.startCall(DomainGroup(a.Domain), call, a.Acquire.TTL, slotOrigin{domain: a.Domain, attempt: a.Acquire.Attempt})
+		case pimrequest.ReleaseSlot:
+			n.dropSlotCall(a.Release.Attempt)
+			n.startCall(DomainGroup(a.Domain), pimmessage.ReleaseSlot{Release: a.Release}, releaseTTL, noOrigin{})
+		case pimrequest.SendAttempt:
+			n.emit(SendEndpoint{Attempt: a})
+		case pimrequest.Finish:
+			n.emit(AnswerCaller{Token: a.Token, Answer: a.Answer})
+		case pimrequest.Decision:
+			n.emit(LogRouting{Decision: a, Version: n.state.Version})
+		}
+	}
+	return len(actions) > 0
+}
+
+// dropSlotCall stops asking for a slot that is given back.
+func (n *Node) dropSlotCall(attempt string) {
+	for id, c := range n.calls {
+		if o, ok := c.origin.(slotOrigin); ok && o.attempt == attempt {
+			delete(n.calls, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/pimcore/status.go
@@ -0,0 +1,149 @@
+package pimcore
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+)
+
+type (
+	// Status is what a node knows of the whole system.
+	Status struct {
+		ClusterID    string             `json:"cluster-id"`
+		Daemon       string             `json:"daemon"`
+		Domain       string             `json:"failure-domain"`
+		Version      uint64             `json:"version"`
+		ConfigLease  bool               `json:"config-lease"`
+		Draining     bool               `json:"draining"`
+		Ready        bool               `json:"ready"`
+		Requests     int                `json:"requests-under-way"`
+		Manifest     ManifestStatus     `json:"manifest"`
+		Domains      []DomainStatus     `json:"failure-domains"`
+		Members      []MemberStatus     `json:"members"`
+		Groups       []GroupStatus      `json:"groups"`
+		Content      []byte             `json:"-"`
+		BatchJobs    []BatchStatus      `json:"batch-jobs"`
+		OwnersBy     map[string]int     `json:"owned-tasks"`
+		MembersTable []pimconfig.Member `json:"-"`
+	}
+
+	// ManifestStatus names the manifest in force.
+	ManifestStatus struct {
+		Number  uint64 `json:"number"`
+		Digest  string `json:"digest"`
+		Version uint64 `json:"version"`
+	}
+
+	// DomainStatus is a failure domain's mark and leader.
+	DomainStatus struct {
+		ID      string `json:"id"`
+		State   string `json:"state"`
+		Number  uint64 `json:"mark-number"`
+		Version uint64 `json:"mark-version"`
+		Leader  string `json:"leader"`
+	}
+
+	// MemberStatus is a daemon as this one sees it.
+	MemberStatus struct {
+		ID      string `json:"id"`
+		Domain  string `json:"failure-domain"`
+		HTTP    string `json:"http-address"`
+		Heard   bool   `json:"heard"`
+		Version uint64 `json:"version"`
+	}
+
+	// GroupStatus is one replica of this daemon.
+	GroupStatus struct {
+		Name   string `json:"name"`
+		Role   string `json:"role"`
+		Term   uint64 `json:"term"`
+		Commit uint64 `json:"commit"`
+		Voters int    `json:"voters"`
+	}
+
+	// BatchStatus is how far a batch job is.
+	BatchStatus struct {
+		Name     string `json:"name"`
+		Tasks    int    `json:"tasks"`
+		Finished int    `json:"finished"`
+	}
+)
+
+// Status returns what the node knows now.
+func (n *Node) Status() Status {
+	s := Status{
+		ClusterID:   n.clusterID,
+		Daemon:      n.config.Member.Name,
+		Domain:      n.config.Member.Domain,
+		Version:     n.state.Version,
+		ConfigLease: n.HasConfigLease(),
+		Draining:    n.draining,
+		Ready:       n.isServing(),
+		Requests:    n.router.Len(),
+		Content:     n.state.Content,
+		Manifest: ManifestStatus{
+			Number: n.state.Current.Number, Digest: n.state.Current.Digest, Version: n.state.Current.Version,
+		},
+		OwnersBy:     map[string]int{},
+		MembersTable: n.state.MembersOf(""),
+	}
+	for _, domain := range n.state.Domains() {
+		s.Domains = append(s.Domains, n.domainStatus(domain))
+	}
+	for _, member := range n.state.MembersOf("") {
+		s.Members = append(s.Members, n.memberStatus(member))
+	}
+	for _, name := range n.groupNames() {
+		replica := n.groups[name].replica
+		s.Groups = append(s.Groups, GroupStatus{
+			Name: name, Role: replica.Role().String(), Term: replica.Term(),
+			Commit: replica.Commit(), Voters: len(replica.Members().Voters),
+		})
+	}
+	for _, job := range n.state.Manifest.BatchJobs {
+		s.BatchJobs = append(s.BatchJobs, BatchStatus{Name: job.Name, Tasks: job.Tasks, Finished: len(n.state.Finished[job.Name])})
+	}
+	for _, owner := range n.state.Owners {
+		s.OwnersBy[owner.Domain]++
+	}
+	return s
+}
+
+// isServing reports whether requests can be answered here: the node knows its
+// cluster, a leader, and does not drain.
+func (n *Node) isServing() bool {
+	return n.clusterID != "" && !n.draining && len(n.servingDomains()) > 0 &&
+		n.leaderOf(DomainGroup(n.servingDomains()[0])).ID != ""
+}
+
+func (n *Node) domainStatus(domain string) DomainStatus {
+	mark := n.state.Marks[domain]
+	s := DomainStatus{ID: domain, State: "in", Number: mark.Number, Version: mark.Version}
+	if mark.Out {
+		s.State = "out"
+	}
+	if member, ok := n.state.Members[n.leaderOf(DomainGroup(domain)).ID]; ok {
+		s.Leader = member.Name
+	}
+	return s
+}
+
+func (n *Node) memberStatus(member pimconfig.Member) MemberStatus {
+	s := MemberStatus{ID: member.ID, Domain: member.Domain, HTTP: member.HTTPAddress, Heard: n.isHeard(member.ID)}
+	if p := n.peers[member.ID]; p != nil {
+		s.Version = p.gossip.Version
+	}
+	if member.ID == n.config.Member.ID {
+		s.Version = n.state.Version
+	}
+	return s
+}
+
+// LeaderNames returns the groups that this node leads, sorted.
+func (n *Node) LeaderNames() []string {
+	names := slices.Collect(maps.Keys(n.groups))
+	names = slices.DeleteFunc(names, func(name string) bool { return !n.groups[name].replica.IsLeader() })
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/node/pimcore/voters.go
@@ -0,0 +1,207 @@
+package pimcore
+
+import (
+	"slices"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+)
+
+// chooseConfigVoters returns the voters that the configuration group should have:
+// an odd number, spread over the failure domains, keeping those of current that live.
+func chooseConfigVoters(state *pimconfig.State, current []string, lives func(string) bool) []string {
+	members := state.MembersOf("")
+	target := configTarget(len(members))
+	voters := keepLiving(state, current, lives, target)
+	perDomain := map[string]int{}
+	for _, id := range voters {
+		perDomain[state.Members[id].Domain]++
+	}
+	for len(voters) < target {
+		next := ""
+		for _, member := range members {
+			if slices.Contains(voters, member.ID) || !lives(member.ID) {
+				continue
+			}
+			if next == "" || perDomain[member.Domain] < perDomain[state.Members[next].Domain] {
+				next = member.ID
+			}
+		}
+		if next == "" {
+			break
+		}
+		voters = append(voters, next)
+		perDomain[state.Members[next].Domain]++
+	}
+	return voters
+}
+
+// chooseDomainVoters returns the voters that a domain group should have: daemons of
+// the failure domain, and where fewer than three live, others from the next failure
+// domains, so that one of three may die.
+func chooseDomainVoters(state *pimconfig.State, domain string, current []string, lives func(string) bool) []string {
+	var local, voters []string
+	for _, member := range state.MembersOf(domain) {
+		if lives(member.ID) {
+			local = append(local, member.ID)
+		}
+	}
+	for _, id := range slices.Concat(keepLiving(state, current, lives, domainVoterTarget), local) {
+		isLocal := slices.Contains(local, id)
+		if isLocal && !slices.Contains(voters, id) && len(voters) < domainVoterTarget {
+			voters = append(voters, id)
+		}
+	}
+	for _, id := range slices.Concat(keepLiving(state, current, lives, domainVoterTarget), outsiders(state, domain)) {
+		if len(voters) >= domainVoterTarget {
+			break
+		}
+		if !slices.Contains(voters, id) && lives(id) {
+			voters = append(voters, id)
+		}
+	}
+	return voters
+}
+
+// outsiders returns the members of the other failure domains, those of the next one first.
+func outsiders(state *pimconfig.State, domain string) []string {
+	domains := state.Domains()
+	own := slices.Index(domains, domain)
+	var ids []string
+	for i := 1; i < len(domains); i++ {
+		for _, member := range state.MembersOf(domains[(own+i)%len(domains)]) {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+func keepLiving(state *pimconfig.State, current []string, lives func(string) bool, most int) []string {
+	var kept []string
+	for _, id := range current {
+		_, isMember := state.Members[id]
+		if isMember && lives(id) && len(kept) < most {
+			kept = append(kept, id)
+		}
+	}
+	return kept
+}
+
+// reconcileMembers lets each group that this node leads take one step towards the
+// voters and learners that it should have.
+func (n *Node) reconcileMembers() {
+	for _, name := range n.groupNames() {
+		g := n.groups[name]
+		if !g.replica.Ready(n.now) || n.draining {
+			continue
+		}
+		next, changed := n.nextMembers(g)
+		if !changed {
+			continue
+		}
+		if err := g.replica.ProposeMembers(n.now, next); err == nil {
+			n.logEvent(name, "members", describeMembers(next))
+		}
+	}
+}
+
+// nextMembers returns a membership one step closer to the wanted one. A voter is
+// removed only after its replacement has caught up and become a voter.
+func (n *Node) nextMembers(g *group) (pimconsensus.Members, bool) {
+	members := g.replica.Members()
+	voters, learners := n.wantedMembers(g)
+	for _, id := range slices.Concat(voters, learners) {
+		if !members.Contains(id) {
+			return members.WithLearner(id), true
+		}
+	}
+	for _, id := range voters {
+		if !members.IsVoter(id) && n.hasCaughtUp(g, id) {
+			return members.WithVoter(id), true
+		}
+	}
+	for _, id := range members.All() {
+		if slices.Contains(voters, id) || (slices.Contains(learners, id) && !members.IsVoter(id)) {
+			continue
+		}
+		if members.IsVoter(id) && len(members.Voters) <= n.voterTarget(g) {
+			continue
+		}
+		return n.without(g, members, id)
+	}
+	return members, false
+}
+
+// without removes a member; a leader that must go hands over first.
+func (n *Node) without(g *group, members pimconsensus.Members, id string) (pimconsensus.Members, bool) {
+	if id != n.config.Member.ID {
+		return members.Without(id), true
+	}
+	if to := n.successor(g); to != "" {
+		g.replica.TransferTo(n.now, to)
+	}
+	return members, false
+}
+
+// voterTarget is the size below which a group never shrinks.
+func (n *Node) voterTarget(g *group) int {
+	if g.domain != "" {
+		return domainVoterTarget
+	}
+	return configTarget(len(n.state.Members))
+}
+
+func configTarget(members int) int {
+	target := configVoterTarget
+	for target > 1 && target > members {
+		target -= 2
+	}
+	return target
+}
+
+func (n *Node) hasCaughtUp(g *group, id string) bool {
+	progress, ok := g.replica.ProgressOf(id)
+	return ok && progress.Match >= g.replica.Commit() && progress.Match > 0
+}
+
+func (n *Node) wantedMembers(g *group) ([]string, []string) {
+	lives := func(id string) bool { return n.livesFor(g, id) }
+	current := g.replica.Members().Voters
+	if g.domain != "" {
+		return chooseDomainVoters(n.state, g.domain, current, lives), nil
+	}
+	voters := chooseConfigVoters(n.state, current, lives)
+	var learners []string
+	for _, member := range n.state.MembersOf("") {
+		if !slices.Contains(voters, member.ID) {
+			learners = append(learners, member.ID)
+		}
+	}
+	return voters, learners
+}
+
+// livesFor reports whether a replica may count as a voter: it was heard within
+// ReplaceAfter, by this group or, where it is not in the group, by gossip.
+func (n *Node) livesFor(g *group, id string) bool {
+	if id == n.config.Member.ID {
+		return true
+	}
+	if progress, ok := g.replica.ProgressOf(id); ok {
+		return n.now-progress.HeardAt <= n.config.ReplaceAfter
+	}
+	return n.isHeard(id)
+}
+
+func describeMembers(members pimconsensus.Members) string {
+	text := "voters"
+	for _, id := range members.Voters {
+		text += " " + id
+	}
+	if len(members.Learners) > 0 {
+		text += ", learners"
+	}
+	for _, id := range members.Learners {
+		text += " " + id
+	}
+	return text
+}
--- /dev/null
+++ b/internal/place/pimowner/planner.go
@@ -0,0 +1,210 @@
+// Package pimowner decides which failure domain owns which task. The leader of the
+// configuration group runs it; its changes become effective when they are committed.
+//
+// A task has one owner at a time. Its next owner is named only after the old one
+// has reported that the task stopped, or can't run it any more because its hold
+// without a current configuration is over.
+package pimowner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	// Ended is a task that a failure domain no longer runs under an epoch.
+	Ended struct {
+		Task       pimconfig.TaskID `msgpack:"t"`
+		Epoch      uint64           `msgpack:"e"`
+		Checkpoint uint64           `msgpack:"c"`
+	}
+
+	// Report is what the leader of a domain group tells about its failure domain.
+	Report struct {
+		Domain   string                `msgpack:"d"`
+		Workers  int                   `msgpack:"w"`
+		Capacity pimmanifest.Resources `msgpack:"c"`
+		Running  map[string]int        `msgpack:"r"`
+		Finished []Ended               `msgpack:"f"`
+		Released []Ended               `msgpack:"l"`
+	}
+
+	// Planner keeps the newest report of each failure domain.
+	Planner struct {
+		hold     time.Duration
+		reports  map[string]Report
+		reportAt map[string]time.Duration
+		outSince map[string]time.Duration
+		inSince  map[string]time.Duration
+	}
+
+	// plan is the work of one call of Plan.
+	plan struct {
+		*Planner
+		now      time.Duration
+		state    *pimconfig.State
+		contact  map[string]time.Duration
+		released map[pimconfig.TaskID]Ended
+		owned    map[string]int
+		services map[string]map[string]int
+		usage    map[string]pimmanifest.Resources
+		changes  []pimconfig.OwnerChange
+	}
+)
+
+// Timing and limits of planning.
+const (
+	SurgeAfter   = 5 * time.Second
+	BreakAfter   = 20 * time.Second
+	HoldMargin   = 30 * time.Second
+	rampTime     = 15 * time.Second
+	rampFloor    = 0.1
+	backlogFloor = 8
+	backlogRatio = 4
+	maxChanges   = 2000
+)
+
+// NewPlanner returns a planner. Hold is how long a failure domain without a current
+// configuration keeps its batch tasks.
+func NewPlanner(hold time.Duration) *Planner {
+	return &Planner{
+		hold:     hold,
+		reports:  map[string]Report{},
+		reportAt: map[string]time.Duration{},
+		outSince: map[string]time.Duration{},
+		inSince:  map[string]time.Duration{},
+	}
+}
+
+// Report takes in a report of a failure domain.
+func (p *Planner) Report(now time.Duration, report Report) {
+	p.reports[report.Domain] = report
+	p.reportAt[report.Domain] = now
+}
+
+// Plan returns the changes of ownership that are due. Contact tells when each
+// failure domain was last heard; no change may be under way from an earlier call.
+func (p *Planner) Plan(now time.Duration, state *pimconfig.State, contact map[string]time.Duration) []pimconfig.OwnerChange {
+	l := &plan{
+		Planner:  p,
+		now:      now,
+		state:    state,
+		contact:  contact,
+		released: map[pimconfig.TaskID]Ended{},
+		owned:    map[string]int{},
+		services: map[string]map[string]int{},
+		usage:    map[string]pimmanifest.Resources{},
+	}
+	l.noteMarks()
+	l.finishTasks()
+	l.countOwned()
+	l.planServices()
+	l.planBatch()
+	return l.changes
+}
+
+func (l *plan) noteMarks() {
+	for _, domain := range l.state.Domains() {
+		if l.state.IsOut(domain) {
+			delete(l.inSince, domain)
+			l.noteSince(l.outSince, domain)
+			continue
+		}
+		delete(l.outSince, domain)
+		l.noteSince(l.inSince, domain)
+	}
+}
+
+func (l *plan) noteSince(since map[string]time.Duration, domain string) {
+	if _, ok := since[domain]; !ok {
+		since[domain] = l.now
+	}
+}
+
+func (l *plan) change(change pimconfig.OwnerChange) {
+	l.changes = append(l.changes, change)
+}
+
+func (l *plan) isFull() bool { return len(l.changes) >= maxChanges }
+
+// finishTasks takes in what the failure domains reported as finished or released.
+func (l *plan) finishTasks() {
+	for _, domain := range slices.Sorted(maps.Keys(l.reports)) {
+		for _, ended := range l.reports[domain].Finished {
+			if l.state.Owners[ended.Task].Epoch == ended.Epoch && !l.isFull() {
+				l.change(pimconfig.OwnerChange{Task: ended.Task, ExpectedEpoch: ended.Epoch, Delete: true, Finished: true})
+			}
+		}
+		for _, ended := range l.reports[domain].Released {
+			if l.state.Owners[ended.Task].Epoch == ended.Epoch {
+				l.released[ended.Task] = ended
+			}
+		}
+	}
+}
+
+func (l *plan) countOwned() {
+	finishing := map[pimconfig.TaskID]bool{}
+	for _, change := range l.changes {
+		finishing[change.Task] = true
+	}
+	for id, owner := range l.state.Owners {
+		if finishing[id] {
+			continue
+		}
+		if service, ok := l.state.Manifest.ServiceNamed(id.Job); ok {
+			l.addUsage(service.Team, service.Needs)
+			l.countService(id.Job, owner.Domain, 1)
+			continue
+		}
+		l.owned[owner.Domain]++
+		if job, ok := l.state.Manifest.BatchJobNamed(id.Job); ok {
+			l.addUsage(job.Team, job.Needs)
+		}
+	}
+}
+
+func (l *plan) countService(job, domain string, by int) {
+	if l.services[job] == nil {
+		l.services[job] = map[string]int{}
+	}
+	l.services[job][domain] += by
+}
+
+func (l *plan) addUsage(team string, needs pimmanifest.Resources) {
+	l.usage[team] = l.usage[team].Add(needs)
+}
+
+func (l *plan) withinQuota(team string, needs pimmanifest.Resources) bool {
+	return l.usage[team].Add(needs).WithinQuota(l.state.Manifest.TeamNamed(team).Quota)
+}
+
+// isReachable reports whether a failure domain was heard lately enough to count on it.
+func (l *plan) isReachable(domain string) bool {
+	return l.now-l.contact[domain] <= SurgeAfter
+}
+
+// takesTasks reports whether a failure domain may become the owner of a task.
+func (l *plan) takesTasks(domain string, allowed []string) bool {
+	if len(allowed) > 0 && !slices.Contains(allowed, domain) {
+		return false
+	}
+	return !l.state.IsOut(domain) && l.isReachable(domain) && l.reports[domain].Workers > 0
+}
+
+// mayKeep reports whether an owner may go on, though perhaps unreachable.
+func (l *plan) mayKeep(domain string, allowed []string) bool {
+	if len(allowed) > 0 && !slices.Contains(allowed, domain) {
+		return false
+	}
+	return !l.state.IsOut(domain)
+}
+
+// holdIsOver reports whether a silent failure domain has certainly stopped its batch tasks.
+func (l *plan) holdIsOver(domain string) bool {
+	return l.now-l.contact[domain] > l.hold+HoldMargin
+}
--- /dev/null
+++ b/internal/place/pimplace/relieve.go
@@ -0,0 +1,143 @@
+package pimplace
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+// Limits on relief: a worker is throttled above throttleAbove of its processors and
+// let go below releaseBelow; memory above evictAbove costs a batch task its place.
+const (
+	throttleAbove   = 0.95
+	releaseBelow    = 0.75
+	evictAbove      = 0.95
+	settleTime      = 3 * time.Second
+	evictionBurst   = 10.0
+	evictionsPerSec = 1.0
+)
+
+// relievePressure throttles batch before it evicts, and acts on a worker only on
+// usage that was taken after its last action there.
+func (p *Placer) relievePressure(now time.Duration, view View) {
+	p.evictions = min(evictionBurst, p.evictions+evictionsPerSec*(now-p.evictedAt).Seconds())
+	p.evictedAt = now
+	if p.policy == PolicyFirstFit {
+		return
+	}
+	for _, worker := range p.Workers() {
+		if worker.UsageAt <= max(worker.ThrottledT, worker.EvictedAt)+settleTime {
+			continue
+		}
+		cpu := share(worker.Usage.CPUMillis, worker.Capacity.CPUMillis)
+		memory := share(worker.Usage.MemoryMB, worker.Capacity.MemoryMB)
+		switch {
+		case memory > evictAbove:
+			p.evictLargest(now, worker, view)
+		case cpu > throttleAbove:
+			p.throttleBatch(now, worker, view, true)
+		case cpu < releaseBelow:
+			p.throttleBatch(now, worker, view, false)
+		}
+	}
+}
+
+func (p *Placer) throttleBatch(now time.Duration, worker *Worker, view View, slow bool) {
+	for _, id := range p.batchOn(worker.ID, view) {
+		if p.throttled[id] == slow {
+			continue
+		}
+		worker.ThrottledT = now
+		if slow {
+			p.throttled[id] = true
+		} else {
+			delete(p.throttled, id)
+		}
+		p.decisions = append(p.decisions, Decision{Task: id, Choice: worker.ID, Reason: throttleReason(slow)})
+	}
+}
+
+func throttleReason(slow bool) string {
+	if slow {
+		return "throttle: processors are short"
+	}
+	return "unthrottle: processors are free"
+}
+
+func (p *Placer) evictLargest(now time.Duration, worker *Worker, view View) {
+	batch := p.batchOn(worker.ID, view)
+	if len(batch) == 0 || p.evictions < 1 {
+		return
+	}
+	largest := slices.MaxFunc(batch, func(a, b pimconfig.TaskID) int {
+		return int(worker.Tasks[a].MemoryMB - worker.Tasks[b].MemoryMB)
+	})
+	p.evict(now, worker, largest, view, "evict: memory is short")
+}
+
+func (p *Placer) evict(now time.Duration, worker *Worker, id pimconfig.TaskID, view View, reason string) {
+	p.evictions--
+	worker.EvictedAt = now
+	p.stop(id, view.State.Tasks[id])
+	p.decisions = append(p.decisions, Decision{Task: id, Choice: worker.ID, Reason: reason})
+}
+
+// batchOn returns the batch tasks that run on a worker and are not stopping.
+func (p *Placer) batchOn(worker string, view View) []pimconfig.TaskID {
+	return slices.DeleteFunc(p.assignedTo(worker, view), func(id pimconfig.TaskID) bool {
+		owned, ok := view.Owned[id]
+		return !ok || owned.Spec.Service || p.stopping[id] == view.State.Tasks[id].Incarnation
+	})
+}
+
+// makeRoom evicts batch tasks for a service that fits nowhere, on the worker where
+// the fewest have to go.
+func (p *Placer) makeRoom(now time.Duration, rooms []*room, id pimconfig.TaskID, owned Owned, needs pimmanifest.Resources, view View) {
+	if !owned.Spec.Service || p.policy == PolicyFirstFit {
+		return
+	}
+	var best *room
+	var victims []pimconfig.TaskID
+	for _, r := range rooms {
+		if p.freesUp(r, needs, view) {
+			return
+		}
+		list := p.victims(r, needs, view)
+		if list != nil && (best == nil || len(list) < len(victims)) {
+			best, victims = r, list
+		}
+	}
+	if best == nil || p.evictions < float64(len(victims)) {
+		return
+	}
+	for _, victim := range victims {
+		p.evict(now, best.worker, victim, view, "evict: room for "+id.Job)
+	}
+}
+
+// freesUp reports whether a worker will have room once what stops there has stopped.
+func (p *Placer) freesUp(r *room, needs pimmanifest.Resources, view View) bool {
+	free := r.free
+	for _, id := range r.tasks {
+		if p.stopping[id] == view.State.Tasks[id].Incarnation && p.stopping[id] > 0 {
+			free = free.Add(p.estimate(id.Job, view.State.Tasks[id].Needs))
+		}
+	}
+	return needs.Fits(free)
+}
+
+// victims returns batch tasks whose eviction makes room, or nil where none does.
+func (p *Placer) victims(r *room, needs pimmanifest.Resources, view View) []pimconfig.TaskID {
+	free := r.free
+	var list []pimconfig.TaskID
+	for _, id := range p.batchOn(r.worker.ID, view) {
+		free = free.Add(p.estimate(id.Job, view.State.Tasks[id].Needs))
+		list = append(list, id)
+		if needs.Fits(free) {
+			return list
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/pimplace/tick.go
@@ -0,0 +1,115 @@
+package pimplace
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+)
+
+// Tick runs the systems over the tables, in this order.
+func (p *Placer) Tick(now time.Duration, view View) {
+	p.settleReservations(view)
+	p.endLost(now, view)
+	p.releaseOwnership(view)
+	p.relievePressure(now, view)
+	p.placePending(now, view)
+	p.reviewQuarantine(now, view)
+}
+
+func (p *Placer) settleReservations(view View) {
+	maps.DeleteFunc(p.reserved, func(_ pimconfig.TaskID, r reservation) bool {
+		return r.index <= view.Applied
+	})
+	maps.DeleteFunc(p.stopping, func(id pimconfig.TaskID, incarnation uint64) bool {
+		row := view.State.Tasks[id]
+		return row.Worker == "" || row.Incarnation != incarnation
+	})
+	maps.DeleteFunc(p.judged, func(id pimconfig.TaskID, incarnation uint64) bool {
+		row := view.State.Tasks[id]
+		return row.Worker == "" || row.Incarnation != incarnation
+	})
+	maps.DeleteFunc(p.throttled, func(id pimconfig.TaskID, _ bool) bool {
+		return view.State.Tasks[id].Worker == ""
+	})
+}
+
+// isAlive reports whether a worker's lease may still run.
+func (p *Placer) isAlive(now time.Duration, id string) bool {
+	heard := p.since
+	if worker := p.workers[id]; worker != nil {
+		heard = max(heard, worker.HeardAt)
+	}
+	return now <= heard+WorkerLease+LeaseMargin
+}
+
+// endLost ends the tasks of workers whose lease is over.
+func (p *Placer) endLost(now time.Duration, view View) {
+	var endings []pimdomain.Ending
+	for _, id := range sortedTasks(view.State.Tasks) {
+		row := view.State.Tasks[id]
+		if row.Worker == "" || p.isAlive(now, row.Worker) {
+			continue
+		}
+		endings = append(endings, pimdomain.Ending{
+			Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation, Outcome: pimdomain.OutcomeLost,
+		})
+	}
+	if len(endings) > 0 {
+		p.proposals = append(p.proposals, pimdomain.EndTasks{Endings: endings})
+	}
+	maps.DeleteFunc(p.workers, func(id string, _ *Worker) bool { return !p.isAlive(now, id) })
+}
+
+// releaseOwnership stops what this failure domain should not run any more, and
+// gives up what has stopped.
+func (p *Placer) releaseOwnership(view View) {
+	released := map[pimconfig.TaskID]uint64{}
+	forgotten := map[pimconfig.TaskID]uint64{}
+	for id, owned := range view.Owned {
+		row := view.State.Tasks[id]
+		if p.mustStop(owned, view) {
+			p.stop(id, row)
+		}
+		ended := row.Worker == "" && !row.Released && row.LastOutcome != pimdomain.OutcomeFinished
+		if owned.Owner.Releasing && ended && !p.isReserved(id) {
+			released[id] = owned.Owner.Epoch
+		}
+	}
+	for id, row := range view.State.Tasks {
+		if owned, ok := view.Owned[id]; ok && owned.Owner.Epoch >= row.Epoch {
+			continue
+		}
+		p.stop(id, row)
+		if row.Worker == "" && !p.isReserved(id) {
+			forgotten[id] = row.Epoch
+		}
+	}
+	if len(released) > 0 {
+		p.proposals = append(p.proposals, pimdomain.ReleaseTasks{Tasks: released})
+	}
+	if len(forgotten) > 0 {
+		p.proposals = append(p.proposals, pimdomain.ForgetTasks{Tasks: forgotten})
+	}
+}
+
+func (p *Placer) mustStop(owned Owned, view View) bool {
+	return owned.Owner.Releasing || (!owned.Spec.Service && !view.HoldBatch)
+}
+
+func (p *Placer) stop(id pimconfig.TaskID, row pimdomain.Task) {
+	if row.Worker != "" {
+		p.stopping[id] = row.Incarnation
+	}
+}
+
+func (p *Placer) isReserved(id pimconfig.TaskID) bool {
+	_, reserved := p.reserved[id]
+	return reserved
+}
+
+func sortedTasks[V any](tasks map[pimconfig.TaskID]V) []pimconfig.TaskID {
+	return slices.SortedFunc(maps.Keys(tasks), pimconfig.CompareTasks)
+}
--- /dev/null
+++ b/internal/place/pimplace/workers.go
@@ -0,0 +1,205 @@
+package pimplace
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+// NewPlacer starts the tables of a new leader. Workers that an earlier leader
+// leased count as alive until a whole lease has passed.
+func NewPlacer(now time.Duration, policy Policy) *Placer {
+	return &Placer{
+		since:     now,
+		workers:   map[string]*Worker{},
+		jobs:      map[string]*jobRow{},
+		pairs:     map[pair]*pairRow{},
+		reserved:  map[pimconfig.TaskID]reservation{},
+		stopping:  map[pimconfig.TaskID]uint64{},
+		throttled: map[pimconfig.TaskID]bool{},
+		judged:    map[pimconfig.TaskID]uint64{},
+		evictions: evictionBurst,
+		policy:    policy,
+	}
+}
+
+// Workers returns the rows sorted by id.
+func (p *Placer) Workers() []*Worker {
+	rows := slices.Collect(maps.Values(p.workers))
+	slices.SortFunc(rows, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return rows
+}
+
+// Take returns the commands to propose and the decisions to log.
+func (p *Placer) Take() ([]pimdomain.Command, []Decision) {
+	proposals, decisions := p.proposals, p.decisions
+	p.proposals, p.decisions = nil, nil
+	return proposals, decisions
+}
+
+// Proposed tells the log index of a command from Take, or zero if it could not be proposed.
+func (p *Placer) Proposed(command pimdomain.Command, index uint64) {
+	assign, ok := command.(pimdomain.AssignTasks)
+	if !ok {
+		return
+	}
+	for _, a := range assign.Assignments {
+		r := p.reserved[a.Task]
+		r.index = index
+		p.reserved[a.Task] = r
+		if index == 0 {
+			delete(p.reserved, a.Task)
+		}
+	}
+}
+
+// Report takes in a worker's report and returns its lease and commands.
+func (p *Placer) Report(now time.Duration, report Report, view View) (Answer, error) {
+	worker := p.workers[report.Worker]
+	if worker == nil {
+		if len(p.workers) >= maxWorkers {
+			return Answer{}, pimcode.New(pimcode.Overloaded, "%d workers are known", maxWorkers)
+		}
+		worker = &Worker{ID: report.Worker, FailedJobs: map[string]bool{}}
+		p.workers[report.Worker] = worker
+	}
+	if report.Boot == worker.Boot && report.Sequence < worker.Sequence {
+		return Answer{}, pimcode.New(pimcode.BadRequest, "sequence: %d: must grow with each report", report.Sequence)
+	}
+	p.ingest(now, worker, report)
+	p.endReported(worker, view)
+	return Answer{LeaseMillis: WorkerLease.Milliseconds(), Commands: p.commandsFor(worker, view)}, nil
+}
+
+func (p *Placer) ingest(now time.Duration, worker *Worker, report Report) {
+	worker.Rack = report.Rack
+	worker.Boot = report.Boot
+	worker.Sequence = report.Sequence
+	worker.Capacity = report.Capacity
+	worker.HeardAt = now
+	worker.UsageAt = now - time.Duration(report.AgeMillis)*time.Millisecond
+	worker.Usage = pimmanifest.Resources{}
+	worker.Tasks = make(map[pimconfig.TaskID]TaskReport, len(report.Tasks))
+	for _, task := range report.Tasks {
+		worker.Tasks[task.Task] = task
+		worker.Usage.CPUMillis += task.CPUMillis
+		worker.Usage.MemoryMB += task.MemoryMB
+	}
+	p.learn(report)
+}
+
+// endReported proposes the end of incarnations that the worker says are over.
+func (p *Placer) endReported(worker *Worker, view View) {
+	var endings []pimdomain.Ending
+	for _, id := range slices.SortedFunc(maps.Keys(worker.Tasks), pimconfig.CompareTasks) {
+		report := worker.Tasks[id]
+		row := view.State.Tasks[id]
+		if !isCurrent(row, worker.ID, report) || report.State == TaskRunning {
+			continue
+		}
+		outcome := outcomeOf(report.State)
+		endings = append(endings, pimdomain.Ending{
+			Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation, Outcome: outcome, Checkpoint: report.Checkpoint,
+		})
+		if p.judged[id] != row.Incarnation {
+			p.judged[id] = row.Incarnation
+			p.judge(worker, id, outcome)
+		}
+	}
+	if len(endings) > 0 {
+		p.proposals = append(p.proposals, pimdomain.EndTasks{Endings: endings})
+	}
+}
+
+func isCurrent(row pimdomain.Task, worker string, report TaskReport) bool {
+	return row.Worker == worker && row.Epoch == report.Epoch && row.Incarnation == report.Incarnation
+}
+
+func outcomeOf(state TaskState) pimdomain.Outcome {
+	switch state {
+	case TaskFinished:
+		return pimdomain.OutcomeFinished
+	case TaskFailed:
+		return pimdomain.OutcomeFailed
+	default:
+		return pimdomain.OutcomeStopped
+	}
+}
+
+// commandsFor compares what the worker says with what the table says.
+func (p *Placer) commandsFor(worker *Worker, view View) []Command {
+	var commands []Command
+	for _, id := range slices.SortedFunc(maps.Keys(worker.Tasks), pimconfig.CompareTasks) {
+		report := worker.Tasks[id]
+		if command, ok := p.commandForReported(worker, id, report, view); ok {
+			commands = append(commands, command)
+		}
+	}
+	for _, id := range p.assignedTo(worker.ID, view) {
+		row := view.State.Tasks[id]
+		report, known := worker.Tasks[id]
+		if known && report.Epoch == row.Epoch && report.Incarnation == row.Incarnation {
+			continue
+		}
+		commands = append(commands, p.unconfirmedCommand(id, row, view)...)
+	}
+	return commands
+}
+
+func (p *Placer) commandForReported(worker *Worker, id pimconfig.TaskID, report TaskReport, view View) (Command, bool) {
+	command := Command{Task: id, Epoch: report.Epoch, Incarnation: report.Incarnation}
+	row := view.State.Tasks[id]
+	switch {
+	case !isCurrent(row, worker.ID, report) && report.State == TaskRunning:
+		command.Kind = CommandStop
+	case !isCurrent(row, worker.ID, report):
+		command.Kind = CommandForget
+	case report.State != TaskRunning:
+		return command, false
+	case p.stopping[id] == row.Incarnation && row.Incarnation > 0:
+		command.Kind = CommandCheckpoint
+	case p.throttled[id]:
+		command.Kind = CommandThrottle
+	default:
+		return command, false
+	}
+	return command, true
+}
+
+// unconfirmedCommand starts an assigned incarnation that the worker does not list,
+// or withdraws it so that a start under way can't take effect later.
+func (p *Placer) unconfirmedCommand(id pimconfig.TaskID, row pimdomain.Task, view View) []Command {
+	command := Command{Kind: CommandStop, Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation}
+	owned, ok := view.Owned[id]
+	withdrawn := !ok || owned.Owner.Releasing || p.stopping[id] == row.Incarnation
+	if withdrawn {
+		return []Command{command}
+	}
+	if !view.StartsAllowed {
+		return nil
+	}
+	command.Kind = CommandStart
+	command.Checkpoint = row.Checkpoint
+	command.Needs = owned.Spec.Needs
+	command.RunTimeMillis = owned.Spec.RunTime.Milliseconds()
+	command.Service = owned.Spec.Service
+	command.StartWithinMillis = StartWithin.Milliseconds()
+	return []Command{command}
+}
+
+func (p *Placer) assignedTo(worker string, view View) []pimconfig.TaskID {
+	var tasks []pimconfig.TaskID
+	for id, row := range view.State.Tasks {
+		if row.Worker == worker {
+			tasks = append(tasks, id)
+		}
+	}
+	slices.SortFunc(tasks, pimconfig.CompareTasks)
+	return tasks
+}
--- /dev/null
+++ b/internal/route/pimqueue/queue.go
@@ -0,0 +1,170 @@
+// Package pimqueue is a fair queue: strict priority with a floor for the lower
+// classes, and inside a class weighted fair shares by team.
+package pimqueue
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+type (
+	// Item is one waiting request. Weight is its team's share and must be positive.
+	Item struct {
+		Key      string
+		Team     string
+		Weight   int
+		Priority int
+		Deadline time.Duration
+		Arrived  time.Duration
+	}
+
+	// Queue holds items. Every FloorEvery-th pop takes the lowest class that waits,
+	// so no class starves.
+	Queue struct {
+		classes map[int]*class
+		length  int
+		pops    int
+	}
+
+	// class holds one priority. Each team has a virtual start time that grows by one
+	// over its weight for each item taken; the team with the lowest is served next.
+	// The finish of a team whose line is empty is kept while it is ahead of the others.
+	class struct {
+		teams   map[string]*line
+		finish  map[string]float64
+		virtual float64
+	}
+
+	line struct {
+		items []Item
+		start float64
+	}
+)
+
+// FloorEvery is the number of pops of which one serves the lowest waiting class.
+const FloorEvery = 8
+
+const maxFinishes = 1024
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{classes: map[int]*class{}} }
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int { return q.length }
+
+// LenAtLeast returns the number of waiting items of the priority or a higher one.
+func (q *Queue) LenAtLeast(priority int) int {
+	count := 0
+	for p, c := range q.classes {
+		if p < priority {
+			continue
+		}
+		for _, l := range c.teams {
+			count += len(l.items)
+		}
+	}
+	return count
+}
+
+// Push adds an item.
+func (q *Queue) Push(item Item) {
+	c := q.classes[item.Priority]
+	if c == nil {
+		c = &class{teams: map[string]*line{}, finish: map[string]float64{}}
+		q.classes[item.Priority] = c
+	}
+	l := c.teams[item.Team]
+	if l == nil {
+		l = &line{start: max(c.virtual, c.finish[item.Team])}
+		delete(c.finish, item.Team)
+		c.teams[item.Team] = l
+	}
+	l.items = append(l.items, item)
+	q.length++
+}
+
+// Pop takes the next item, or returns false when none waits.
+func (q *Queue) Pop() (Item, bool) {
+	if q.length == 0 {
+		return Item{}, false
+	}
+	q.pops++
+	q.length--
+	return q.nextClass(q.pops%FloorEvery == 0).pop(), true
+}
+
+func (q *Queue) nextClass(lowest bool) *class {
+	var best *class
+	bestPriority := 0
+	for priority, c := range q.classes {
+		better := best == nil || (priority > bestPriority) != lowest
+		if len(c.teams) > 0 && better {
+			best, bestPriority = c, priority
+		}
+	}
+	return best
+}
+
+func (c *class) pop() Item {
+	next := c.nextTeam()
+	l := c.teams[next]
+	item := l.items[0]
+	l.items = l.items[1:]
+	c.virtual = max(c.virtual, l.start)
+	l.start += 1 / float64(max(item.Weight, 1))
+	if len(l.items) == 0 {
+		c.retire(next)
+	}
+	return item
+}
+
+func (c *class) nextTeam() string {
+	next := ""
+	for team, l := range c.teams {
+		switch {
+		case next == "" || l.start < c.teams[next].start:
+			next = team
+		case l.start == c.teams[next].start && team < next:
+			next = team
+		}
+	}
+	return next
+}
+
+// retire drops an empty line and keeps its finish.
+func (c *class) retire(team string) {
+	c.finish[team] = c.teams[team].start
+	delete(c.teams, team)
+	if len(c.finish) > maxFinishes {
+		maps.DeleteFunc(c.finish, func(_ string, finish float64) bool { return finish <= c.virtual })
+	}
+}
+
+// Remove takes out the items for which drop is true and returns them.
+func (q *Queue) Remove(drop func(Item) bool) []Item {
+	var dropped []Item
+	for _, priority := range slices.Sorted(maps.Keys(q.classes)) {
+		c := q.classes[priority]
+		for _, team := range slices.Sorted(maps.Keys(c.teams)) {
+			dropped = append(dropped, c.teams[team].remove(drop)...)
+			if len(c.teams[team].items) == 0 {
+				c.retire(team)
+			}
+		}
+	}
+	q.length -= len(dropped)
+	return dropped
+}
+
+func (l *line) remove(drop func(Item) bool) []Item {
+	var dropped []Item
+	l.items = slices.DeleteFunc(l.items, func(item Item) bool {
+		if !drop(item) {
+			return false
+		}
+		dropped = append(dropped, item)
+		return true
+	})
+	return dropped
+}
--- /dev/null
+++ b/internal/route/pimrequest/result.go
@@ -0,0 +1,162 @@
+package pimrequest
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
+)
+
+// OnResult takes in the end of an attempt.
+func (r *Router) OnResult(now time.Duration, result Result) {
+	if late, ok := r.late[result.Attempt]; ok {
+		r.onLateResult(now, late.row, result)
+		return
+	}
+	w := r.attempts[result.Attempt]
+	if w == nil || w.state != stateSent {
+		return
+	}
+	r.release(w.domain, w.attempt, usageOf(result.Kind), now-w.sentAt)
+	switch result.Kind {
+	case ResultWhole:
+		r.budget = min(r.budget+retryShare, retryBurst)
+		r.endJournal(w, pimdomain.RequestRan, pimcode.OK, result.Payload)
+		r.finish(w, Answer{Outcome: Ran, Payload: result.Payload})
+	case ResultNotSent:
+		r.retry(now, w, pimcode.ConnectFailed)
+	case ResultRefused:
+		r.retry(now, w, pimcode.EndpointRefused)
+	default:
+		r.onUnknown(now, w, codeOf(result.Kind))
+	}
+}
+
+func usageOf(kind ResultKind) pimslot.Usage {
+	switch kind {
+	case ResultWhole:
+		return pimslot.UsageAnswered
+	case ResultNotSent:
+		return pimslot.UsageFailed
+	case ResultRefused:
+		return pimslot.UsageRefused
+	default:
+		return pimslot.UsageLost
+	}
+}
+
+func codeOf(kind ResultKind) pimcode.Code {
+	switch kind {
+	case ResultIncomplete:
+		return pimcode.AnswerIncomplete
+	case ResultCrossed:
+		return pimcode.AnswerCrossed
+	default:
+		return pimcode.ConnectionLost
+	}
+}
+
+// onUnknown ends an attempt that may have run. Only an idempotent request goes on.
+func (r *Router) onUnknown(now time.Duration, w *row, code pimcode.Code) {
+	w.ranUnknown = true
+	if w.Idempotent {
+		r.retry(now, w, code)
+		return
+	}
+	r.keepLate(now, w)
+	r.endJournal(w, pimdomain.RequestUnknown, code, nil)
+	r.finish(w, Answer{Outcome: Unknown, Code: code})
+}
+
+// retry tries again inside the budget, the number of attempts and the deadline.
+func (r *Router) retry(now time.Duration, w *row, code pimcode.Code) {
+	w.lastCode = code
+	delete(r.attempts, w.attempt)
+	if now >= w.deadline || w.attempts >= maxAttempts+2*len(w.domains) {
+		r.endNotRun(w)
+		return
+	}
+	if r.budget < 1 {
+		w.lastCode = pimcode.RetryBudgetSpent
+		w.retryAfter = max(w.retryAfter, time.Second)
+		r.endNotRun(w)
+		return
+	}
+	r.budget--
+	w.avoid = w.endpoint
+	w.position = 0
+	w.state = stateSlotPause
+	w.againAt = now + slotPause
+}
+
+func (r *Router) keepLate(now time.Duration, w *row) {
+	r.late[w.attempt] = lateAttempt{row: *w, until: now + lateAnswerKeep}
+}
+
+// onLateResult records that a given-up attempt ran after all, and frees its slot.
+func (r *Router) onLateResult(now time.Duration, w row, result Result) {
+	if result.Kind == ResultLost || result.Kind == ResultIncomplete || result.Kind == ResultCrossed {
+		return
+	}
+	delete(r.late, result.Attempt)
+	r.release(w.domain, result.Attempt, usageOf(result.Kind), now-w.sentAt)
+	if result.Kind == ResultWhole {
+		r.endJournal(&w, pimdomain.RequestRan, pimcode.OK, result.Payload)
+	}
+}
+
+// Tick lets time pass: deadlines, silent leaders, pauses.
+func (r *Router) Tick(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(r.rows)) {
+		r.tickRow(now, r.rows[id])
+	}
+	maps.DeleteFunc(r.late, func(_ string, l lateAttempt) bool { return now > l.until })
+}
+
+func (r *Router) tickRow(now time.Duration, w *row) {
+	if now >= w.deadline {
+		r.expire(now, w)
+		return
+	}
+	switch w.state {
+	case stateJournalPause:
+		if now >= w.againAt {
+			r.beginJournal(now, w)
+		}
+	case stateSlotPause:
+		if now >= w.againAt {
+			r.askSlot(now, w)
+		}
+	case stateSlot:
+		if now >= w.askUntil {
+			r.release(w.domain, w.attempt, pimslot.UsageNotSent, 0)
+			w.lastCode = pimcode.NoLeader
+			r.nextDomain(now, w)
+		}
+	}
+}
+
+// expire answers a request whose deadline has come.
+func (r *Router) expire(now time.Duration, w *row) {
+	switch w.state {
+	case stateJournal:
+		r.giveUpJournal(w)
+	case stateJournalPause:
+		r.finish(w, Answer{Outcome: Unknown, Code: w.lastCode, RetryAfter: time.Second})
+	case stateSent:
+		r.release(w.domain, w.attempt, pimslot.UsageLost, now-w.sentAt)
+		w.ranUnknown = true
+		w.lastCode = pimcode.DeadlineExceeded
+		r.keepLate(now, w)
+		r.endNotRun(w)
+	default:
+		if w.state == stateSlot {
+			r.release(w.domain, w.attempt, pimslot.UsageNotSent, 0)
+		}
+		w.lastCode = pimcode.DeadlineExceeded
+		r.endNotRun(w)
+	}
+}
--- /dev/null
+++ b/internal/route/pimslot/allocator.go
@@ -0,0 +1,345 @@
+package pimslot
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimqueue"
+)
+
+// NewAllocator starts the table of a new leader. Until every daemon in awaited has
+// told which credits it holds, or all credits of earlier leaders are over, nothing
+// is granted.
+func NewAllocator(term uint64, now time.Duration, awaited []string) *Allocator {
+	a := &Allocator{
+		term:      term,
+		readyAt:   now + SendWithin + ClockMargin,
+		awaited:   map[string]bool{},
+		endpoints: map[string]*Endpoint{},
+		credits:   map[string]*Credit{},
+		services:  map[string]*service{},
+	}
+	for _, id := range awaited {
+		a.awaited[id] = true
+	}
+	a.ready = len(a.awaited) == 0
+	return a
+}
+
+// Term returns the leader's term that the table belongs to.
+func (a *Allocator) Term() uint64 { return a.term }
+
+// Ready reports whether slots may be granted.
+func (a *Allocator) Ready() bool { return a.ready }
+
+// Endpoints returns the rows sorted by id.
+func (a *Allocator) Endpoints() []*Endpoint {
+	rows := slices.Collect(maps.Values(a.endpoints))
+	slices.SortFunc(rows, func(x, y *Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	return rows
+}
+
+// SetOutOfService stops or allows grants, as the failure domain's mark says.
+func (a *Allocator) SetOutOfService(out bool) {
+	a.outOfService = out
+	if !out {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		a.refuseWaiting(a.services[name], pimcode.DomainOut, func(pimqueue.Item) bool { return true })
+	}
+}
+
+// Take returns the replies that are due.
+func (a *Allocator) Take() []Reply {
+	replies := a.replies
+	a.replies = nil
+	return replies
+}
+
+// Recover takes in what a daemon holds of credits that an earlier leader granted.
+// Its Deadline and LostAt are given as time left and time passed.
+func (a *Allocator) Recover(now time.Duration, holder string, credits []Credit, announcements []Announcement) {
+	for _, announcement := range announcements {
+		if a.endpoints[announcement.ID] == nil {
+			announcement.Token = Token{}
+			a.Announce(now, announcement)
+		}
+	}
+	for _, credit := range credits {
+		credit.Holder = holder
+		credit.Deadline += now
+		credit.SendBy = now
+		credit.Granted = now
+		if credit.LostAt > 0 {
+			credit.LostAt = now
+		}
+		a.hold(credit)
+	}
+	delete(a.awaited, holder)
+	if len(a.awaited) == 0 && !a.ready {
+		a.becomeReady(now)
+	}
+}
+
+func (a *Allocator) becomeReady(now time.Duration) {
+	a.ready = true
+	for _, endpoint := range a.endpoints {
+		a.countForeign(endpoint)
+	}
+	a.grantAll(now)
+}
+
+func (a *Allocator) hold(credit Credit) {
+	if a.credits[credit.Attempt] != nil {
+		return
+	}
+	a.credits[credit.Attempt] = &credit
+	if endpoint := a.endpoints[credit.Endpoint]; endpoint != nil {
+		endpoint.Credits[credit.Attempt] = &credit
+	}
+}
+
+// Announce takes in an endpoint's announcement and returns the token for its next one.
+func (a *Allocator) Announce(now time.Duration, announcement Announcement) (Token, error) {
+	if announcement.Slots < 0 || announcement.Slots > maxSlots {
+		return Token{}, pimcode.New(pimcode.BadRequest, "slots: %d: must be 0 to %d", announcement.Slots, maxSlots)
+	}
+	endpoint := a.endpoints[announcement.ID]
+	if endpoint == nil {
+		if len(a.endpoints) >= maxEndpoints {
+			return Token{}, pimcode.New(pimcode.Overloaded, "%d endpoints are known", maxEndpoints)
+		}
+		endpoint = &Endpoint{Credits: map[string]*Credit{}}
+		a.endpoints[announcement.ID] = endpoint
+		a.adoptCredits(announcement.ID, endpoint)
+	}
+	older := announcement.Boot == endpoint.Boot && announcement.Sequence < endpoint.Sequence
+	if !older {
+		endpoint.Announcement = announcement
+		endpoint.HeardAt = now
+		a.freeUnlisted(endpoint, announcement)
+		a.countForeign(endpoint)
+	}
+	a.grant(now, endpoint.Service)
+	return Token{Term: a.term, At: now}, nil
+}
+
+func (a *Allocator) adoptCredits(id string, endpoint *Endpoint) {
+	for attempt, credit := range a.credits {
+		if credit.Endpoint == id {
+			endpoint.Credits[attempt] = credit
+		}
+	}
+}
+
+// freeUnlisted frees credits whose time was over before the announcement was made
+// and which the endpoint does not list.
+func (a *Allocator) freeUnlisted(endpoint *Endpoint, announcement Announcement) {
+	if announcement.Token.Term != a.term {
+		return
+	}
+	for attempt, credit := range endpoint.Credits {
+		over := credit.Deadline + ClockMargin
+		if credit.LostAt > 0 {
+			over = max(credit.LostAt, credit.SendBy) + ClockMargin
+		}
+		if announcement.Token.At > over && !slices.Contains(announcement.InProgress, attempt) {
+			a.drop(attempt)
+		}
+	}
+}
+
+// countForeign counts attempts that the endpoint lists and no credit explains: a
+// daemon that holds them never answered, or they were released while the
+// announcement was under way. They count until the next announcement.
+func (a *Allocator) countForeign(endpoint *Endpoint) {
+	endpoint.Foreign = 0
+	for _, attempt := range endpoint.InProgress {
+		if endpoint.Credits[attempt] == nil {
+			endpoint.Foreign++
+		}
+	}
+}
+
+func (a *Allocator) drop(attempt string) {
+	credit := a.credits[attempt]
+	if credit == nil {
+		return
+	}
+	delete(a.credits, attempt)
+	if endpoint := a.endpoints[credit.Endpoint]; endpoint != nil {
+		delete(endpoint.Credits, attempt)
+	}
+}
+
+// Acquire takes in a holder's request for a slot; the reply comes out of Take.
+func (a *Allocator) Acquire(now time.Duration, holder string, acquire Acquire) {
+	if credit := a.credits[acquire.Attempt]; credit != nil {
+		a.replyGrant(credit)
+		return
+	}
+	s := a.serviceNamed(acquire.Service)
+	if _, waits := s.waiting[acquire.Attempt]; waits {
+		return
+	}
+	if code, wait := a.admit(now, s, acquire); code != pimcode.OK {
+		a.refuse(holder, acquire, code, wait)
+		return
+	}
+	s.waiting[acquire.Attempt] = waiter{holder: holder, acquire: acquire}
+	s.queue.Push(pimqueue.Item{
+		Key:      acquire.Attempt,
+		Team:     acquire.Team,
+		Weight:   acquire.Weight,
+		Priority: acquire.Priority,
+		Deadline: now + acquire.TTL,
+		Arrived:  now,
+	})
+	a.grant(now, acquire.Service)
+	if _, waits := s.waiting[acquire.Attempt]; waits && acquire.NoWait {
+		a.cancel(s, acquire.Attempt)
+		a.refuse(holder, acquire, pimcode.QueueFull, a.expectedWait(now, s, acquire))
+	}
+}
+
+func (a *Allocator) serviceNamed(name string) *service {
+	s := a.services[name]
+	if s == nil {
+		s = &service{queue: pimqueue.NewQueue(), waiting: map[string]waiter{}}
+		a.services[name] = s
+	}
+	return s
+}
+
+// admit refuses a request that can't be answered in time.
+func (a *Allocator) admit(now time.Duration, s *service, acquire Acquire) (pimcode.Code, time.Duration) {
+	if a.outOfService {
+		return pimcode.DomainOut, 0
+	}
+	if !a.ready {
+		return pimcode.OK, 0
+	}
+	slots := a.slotsOf(now, acquire.Service)
+	if slots == 0 {
+		return pimcode.NoEndpoint, AnnounceInterval
+	}
+	wait := a.expectedWait(now, s, acquire)
+	if s.queue.Len() >= maxQueuePerService {
+		return pimcode.QueueFull, wait
+	}
+	if wait > 0 && wait+s.runTime > acquire.TTL {
+		return pimcode.WaitTooLong, wait
+	}
+	return pimcode.OK, 0
+}
+
+// expectedWait is the time until a slot is free for one more request of the priority.
+func (a *Allocator) expectedWait(now time.Duration, s *service, acquire Acquire) time.Duration {
+	slots := a.slotsOf(now, acquire.Service)
+	if slots == 0 {
+		return AnnounceInterval
+	}
+	if a.freeOf(now, acquire.Service) > s.queue.Len() {
+		return 0
+	}
+	ahead := s.queue.LenAtLeast(acquire.Priority) + 1
+	return time.Duration(ahead) * s.runTime / time.Duration(slots)
+}
+
+func (a *Allocator) refuse(holder string, acquire Acquire, code pimcode.Code, wait time.Duration) {
+	a.replies = append(a.replies, Reply{Attempt: acquire.Attempt, Holder: holder, Code: code, Term: a.term, RetryAfter: wait})
+}
+
+func (a *Allocator) cancel(s *service, attempt string) {
+	delete(s.waiting, attempt)
+	s.queue.Remove(func(item pimqueue.Item) bool { return item.Key == attempt })
+}
+
+func (a *Allocator) refuseWaiting(s *service, code pimcode.Code, drop func(pimqueue.Item) bool) {
+	for _, item := range s.queue.Remove(drop) {
+		w := s.waiting[item.Key]
+		delete(s.waiting, item.Key)
+		a.refuse(w.holder, w.acquire, code, s.runTime)
+	}
+}
+
+// Release takes in how a credit was used.
+func (a *Allocator) Release(now time.Duration, release Release) {
+	for _, s := range a.services {
+		if _, waits := s.waiting[release.Attempt]; waits {
+			a.cancel(s, release.Attempt)
+		}
+	}
+	credit := a.credits[release.Attempt]
+	if credit == nil {
+		return
+	}
+	endpoint := a.endpoints[credit.Endpoint]
+	if endpoint != nil {
+		a.learn(now, endpoint, release)
+	}
+	if release.Usage == UsageLost {
+		credit.LostAt = now
+		return
+	}
+	a.drop(release.Attempt)
+	if endpoint != nil {
+		a.grant(now, endpoint.Service)
+	}
+}
+
+func (a *Allocator) learn(now time.Duration, endpoint *Endpoint, release Release) {
+	switch release.Usage {
+	case UsageAnswered:
+		endpoint.Failures = 0
+		smooth(&endpoint.Latency, release.Latency)
+		smooth(&a.serviceNamed(endpoint.Service).runTime, release.Latency)
+	case UsageFailed, UsageLost:
+		endpoint.Failures++
+	}
+	if endpoint.Failures >= EjectFailures {
+		endpoint.Failures = 0
+		endpoint.EjectedUntil = now + EjectFor
+	}
+}
+
+func smooth(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
+		return
+	}
+	*mean += (sample - *mean) / smoothing
+}
+
+// Tick lets time pass: recovery, deadlines of waiting requests, ejections, old rows.
+func (a *Allocator) Tick(now time.Duration) {
+	if !a.ready && now >= a.readyAt {
+		a.becomeReady(now)
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		s := a.services[name]
+		if s.queue.Len() > 0 {
+			a.refuseWaiting(s, pimcode.DeadlineExceeded, func(item pimqueue.Item) bool { return item.Deadline <= now })
+			a.grant(now, name)
+		}
+		if s.queue.Len() > 0 && a.ready && a.slotsOf(now, name) == 0 {
+			a.refuseWaiting(s, pimcode.NoEndpoint, func(pimqueue.Item) bool { return true })
+		}
+	}
+	for id, endpoint := range a.endpoints {
+		if now-endpoint.HeardAt > ForgetAfter {
+			a.forget(id, endpoint)
+		}
+	}
+}
+
+func (a *Allocator) forget(id string, endpoint *Endpoint) {
+	for attempt := range endpoint.Credits {
+		delete(a.credits, attempt)
+	}
+	delete(a.endpoints, id)
+}
--- /dev/null
+++ b/internal/route/pimslot/choose.go
@@ -0,0 +1,164 @@
+package pimslot
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimqueue"
+)
+
+// latencyFloor keeps very fast answers from deciding alone.
+const latencyFloor = time.Millisecond
+
+// serves reports whether an endpoint may get requests of a service at all.
+func (e *Endpoint) serves(now time.Duration, service string) bool {
+	return e.Service == service && !e.Leaving && now-e.HeardAt <= ExpireAfter
+}
+
+// used counts the slots that are or may be taken.
+func (e *Endpoint) used() int { return len(e.Credits) + e.Foreign }
+
+// score is lower for the endpoint that should answer sooner: load times latency.
+func (e *Endpoint) score() float64 {
+	load := float64(e.used()+1) / float64(e.Slots)
+	return load * float64(max(e.Latency, latencyFloor))
+}
+
+func (a *Allocator) slotsOf(now time.Duration, service string) int {
+	total := 0
+	for _, endpoint := range a.endpoints {
+		if endpoint.serves(now, service) {
+			total += endpoint.Slots
+		}
+	}
+	return total
+}
+
+func (a *Allocator) freeOf(now time.Duration, service string) int {
+	free := 0
+	for _, endpoint := range a.endpoints {
+		if endpoint.serves(now, service) {
+			free += max(endpoint.Slots-endpoint.used(), 0)
+		}
+	}
+	return free
+}
+
+// choose returns the best endpoint with a free slot and the number of those that had one.
+// An ejected endpoint, or the one to avoid, is taken only where there is no other.
+func (a *Allocator) choose(now time.Duration, service, avoid string) (*Endpoint, int) {
+	var best, spare *Endpoint
+	candidates := 0
+	for _, endpoint := range a.endpoints {
+		if !endpoint.serves(now, service) || endpoint.used() >= endpoint.Slots {
+			continue
+		}
+		candidates++
+		if endpoint.ID == avoid || endpoint.EjectedUntil > now {
+			spare = better(spare, endpoint)
+			continue
+		}
+		best = better(best, endpoint)
+	}
+	if best == nil {
+		best = spare
+	}
+	return best, candidates
+}
+
+// better prefers the lower score, then the endpoint that was chosen longest ago, then the lower id.
+func better(a, b *Endpoint) *Endpoint {
+	switch {
+	case a == nil:
+		return b
+	case a.score() != b.score():
+		if a.score() < b.score() {
+			return a
+		}
+		return b
+	case a.GrantedAt != b.GrantedAt:
+		if a.GrantedAt < b.GrantedAt {
+			return a
+		}
+		return b
+	case a.ID < b.ID:
+		return a
+	default:
+		return b
+	}
+}
+
+func (a *Allocator) grantAll(now time.Duration) {
+	for name := range a.services {
+		a.grant(now, name)
+	}
+}
+
+// grant gives free slots of a service to the requests that wait for one.
+func (a *Allocator) grant(now time.Duration, service string) {
+	s := a.services[service]
+	if s == nil || !a.ready || a.outOfService {
+		return
+	}
+	for s.queue.Len() > 0 {
+		if endpoint, _ := a.choose(now, service, ""); endpoint == nil {
+			return
+		}
+		item, _ := s.queue.Pop()
+		w := s.waiting[item.Key]
+		delete(s.waiting, item.Key)
+		if item.Deadline <= now {
+			a.refuse(w.holder, w.acquire, pimcode.DeadlineExceeded, s.runTime)
+			continue
+		}
+		a.grantTo(now, item, w)
+	}
+}
+
+func (a *Allocator) grantTo(now time.Duration, item pimqueue.Item, w waiter) {
+	endpoint, candidates := a.choose(now, w.acquire.Service, w.acquire.Avoid)
+	credit := Credit{
+		Attempt:  item.Key,
+		Endpoint: endpoint.ID,
+		Holder:   w.holder,
+		Deadline: item.Deadline,
+		SendBy:   min(now+SendWithin, item.Deadline),
+		Granted:  now,
+		Waited:   now - item.Arrived,
+	}
+	endpoint.GrantedAt = now
+	a.hold(credit)
+	a.replyGrant(&credit)
+	a.replies[len(a.replies)-1].Candidates = candidates
+}
+
+func (a *Allocator) replyGrant(credit *Credit) {
+	endpoint := a.endpoints[credit.Endpoint]
+	if endpoint == nil {
+		return
+	}
+	a.replies = append(a.replies, Reply{
+		Attempt:    credit.Attempt,
+		Holder:     credit.Holder,
+		Endpoint:   endpoint.ID,
+		Address:    endpoint.Address,
+		Waited:     credit.Waited,
+		SendWithin: max(credit.SendBy-credit.Granted, 0),
+		Term:       a.term,
+		Free:       endpoint.Slots - endpoint.used(),
+	})
+}
+
+// StateName returns the endpoint's state in kebab-case: ready, leaving, silent or ejected.
+func (e *Endpoint) StateName(now time.Duration) string {
+	switch {
+	case e.Leaving:
+		return "leaving"
+	case now-e.HeardAt > ExpireAfter:
+		return "silent"
+	case e.EjectedUntil > now:
+		return "ejected"
+	default:
+		return "ready"
+	}
+}
--- /dev/null
+++ b/internal/standin/pimplatform/balancer.go
@@ -0,0 +1,185 @@
+// Package pimplatform stands in for the platform's balancer: it sends each call to
+// an entry daemon that says it is ready, and to the next one if that fails to connect.
+package pimplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+)
+
+type (
+	// Balancer knows the HTTP addresses of the entry daemons.
+	Balancer struct {
+		client    *http.Client
+		mutex     sync.Mutex
+		addresses []string
+		ready     map[string]bool
+		next      int
+	}
+
+	// StatusError is an answer with a status other than 200.
+	StatusError struct {
+		Status int
+		Body   []byte
+	}
+)
+
+const (
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	idleEach      = 256
+	// DefaultTimeout bounds calls whose context has no deadline.
+	DefaultTimeout = 30 * time.Second
+)
+
+// Error holds failures to reach an entry daemon.
+var Error = errs.Class("balancer")
+
+// NewBalancer returns a balancer over the given addresses. Until Run has probed
+// them, all count as ready.
+func NewBalancer(addresses []string) *Balancer {
+	b := &Balancer{
+		client: &http.Client{
+			Timeout:   DefaultTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: idleEach, DisableCompression: true},
+		},
+		addresses: addresses,
+		ready:     map[string]bool{},
+	}
+	for _, address := range addresses {
+		b.ready[address] = true
+	}
+	return b
+}
+
+// Error returns the status and the body.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// Run probes readiness until the context ends.
+func (b *Balancer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			b.client.CloseIdleConnections()
+			return nil
+		case <-ticker.C:
+			b.probe(ctx)
+		}
+	}
+}
+
+func (b *Balancer) probe(ctx context.Context) {
+	var ends []<-chan error
+	for _, address := range b.addresses {
+		ends = append(ends, pimroutine.Start(ctx, func(ctx context.Context) error {
+			ok := b.isReady(ctx, address)
+			b.mutex.Lock()
+			b.ready[address] = ok
+			b.mutex.Unlock()
+			return nil
+		}))
+	}
+	for _, end := range ends {
+		<-end
+	}
+}
+
+func (b *Balancer) isReady(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := b.call(ctx, http.MethodGet, address, "/readyz", nil)
+	return err == nil
+}
+
+// Candidates returns the addresses to try, ready ones first, beginning with another
+// one at each call.
+func (b *Balancer) Candidates() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.next++
+	var ready, rest []string
+	for i := range b.addresses {
+		address := b.addresses[(b.next+i)%len(b.addresses)]
+		if b.ready[address] {
+			ready = append(ready, address)
+		} else {
+			rest = append(rest, address)
+		}
+	}
+	return append(ready, rest...)
+}
+
+// AllReady reports whether every address answered its last probe.
+func (b *Balancer) AllReady() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, address := range b.addresses {
+		if !b.ready[address] {
+			return false
+		}
+	}
+	return true
+}
+
+// Do sends a body as JSON to one entry daemon and reads the answer into target.
+func (b *Balancer) Do(ctx context.Context, method, path string, body, target any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	answer, err := b.call(ctx, method, b.Candidates()[0], path, data)
+	if err != nil {
+		return err
+	}
+	return Error.Wrap(json.Unmarshal(answer, target))
+}
+
+// Put sends raw bytes to one entry daemon and reads the answer into target.
+func (b *Balancer) Put(ctx context.Context, path string, data []byte, target any) error {
+	answer, err := b.call(ctx, http.MethodPut, b.Candidates()[0], path, data)
+	if err != nil {
+		return err
+	}
+	return Error.Wrap(json.Unmarshal(answer, target))
+}
+
+func (b *Balancer) call(ctx context.Context, method, address, path string, data []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	var buffer bytes.Buffer
+	if _, err := buffer.ReadFrom(response.Body); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: response.StatusCode, Body: buffer.Bytes()}
+	}
+	return buffer.Bytes(), nil
+}
+
+// Get reads a path from one entry daemon.
+func (b *Balancer) Get(ctx context.Context, path string) ([]byte, error) {
+	return b.call(ctx, http.MethodGet, b.Candidates()[0], path, nil)
+}
+
+// GetFrom reads a path from the given address.
+func (b *Balancer) GetFrom(ctx context.Context, address, path string) ([]byte, error) {
+	return b.call(ctx, http.MethodGet, address, path, nil)
+}
--- /dev/null
+++ b/internal/standin/pimworker/worker.go
@@ -0,0 +1,207 @@
+// Package pimworker is a stand-in for a worker of the platform: it reports, obeys
+// its lease, starts each incarnation at most once, and runs tasks by waiting.
+package pimworker
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimwitness"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	// Settings describe one worker. FailAll makes it fail whatever it starts.
+	Settings struct {
+		ID       string
+		Domain   string
+		Rack     string
+		Capacity pimmanifest.Resources
+		FailAll  bool
+	}
+
+	// Worker is one running stand-in. Only its own goroutine uses it.
+	Worker struct {
+		settings Settings
+		balancer *pimplatform.Balancer
+		witness  *pimwitness.Witness
+		boot     string
+		sequence uint64
+		leaseEnd time.Time
+		tasks    map[pimconfig.TaskID]*task
+	}
+
+	// task is one incarnation on this worker. Done is the work that is saved, in
+	// milliseconds; it is the checkpoint.
+	task struct {
+		command   pimplace.Command
+		state     pimplace.TaskState
+		startedAt time.Time
+		done      int64
+	}
+)
+
+const (
+	defaultRunTime = time.Second
+	stepInterval   = 50 * time.Millisecond
+	failAfter      = 100 * time.Millisecond
+	reportTimeout  = 900 * time.Millisecond
+)
+
+// NewWorker returns a worker; Run starts it.
+func NewWorker(settings Settings, balancer *pimplatform.Balancer, witness *pimwitness.Witness) *Worker {
+	return &Worker{
+		settings: settings,
+		balancer: balancer,
+		witness:  witness,
+		boot:     strconv.FormatInt(time.Now().UnixNano(), 36),
+		tasks:    map[pimconfig.TaskID]*task{},
+	}
+}
+
+// Run reports and runs tasks until the context ends; then all tasks end with the worker.
+func (w *Worker) Run(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	lastReport := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			w.stopAll()
+			return nil
+		case <-ticker.C:
+		}
+		ended := w.step(time.Now())
+		if ended || time.Since(lastReport) >= pimplace.ReportInterval {
+			lastReport = time.Now()
+			w.report(ctx)
+		}
+	}
+}
+
+// step lets tasks go on, and stops them all when the lease is over.
+func (w *Worker) step(now time.Time) bool {
+	if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+		w.stopAll()
+		w.leaseEnd = time.Time{}
+	}
+	ended := false
+	for _, t := range w.tasks {
+		if t.state != pimplace.TaskRunning || t.command.Service {
+			continue
+		}
+		switch {
+		case w.settings.FailAll && now.Sub(t.startedAt) > failAfter:
+			w.end(t, pimplace.TaskFailed)
+			ended = true
+		case t.progress(now) >= t.runMillis():
+			w.end(t, pimplace.TaskFinished)
+			ended = true
+		}
+	}
+	return ended
+}
+
+func (t *task) runMillis() int64 {
+	if t.command.RunTimeMillis > 0 {
+		return t.command.RunTimeMillis
+	}
+	return defaultRunTime.Milliseconds()
+}
+
+func (t *task) progress(now time.Time) int64 {
+	return int64(t.command.Checkpoint) + now.Sub(t.startedAt).Milliseconds()
+}
+
+func (w *Worker) end(t *task, state pimplace.TaskState) {
+	t.done = min(t.progress(time.Now()), t.runMillis())
+	t.state = state
+	if w.witness != nil {
+		w.witness.Ended(t.command.Task, state == pimplace.TaskFinished, state == pimplace.TaskStopped && !t.command.Service)
+	}
+}
+
+func (w *Worker) stopAll() {
+	for _, t := range w.tasks {
+		if t.state == pimplace.TaskRunning {
+			w.end(t, pimplace.TaskStopped)
+		}
+	}
+}
+
+func (w *Worker) report(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	w.sequence++
+	var answer pimplace.Answer
+	path := "/v1/workers/" + w.settings.ID + "/reports"
+	if err := w.balancer.Do(ctx, http.MethodPost, path, w.buildReport(), &answer); err != nil {
+		return
+	}
+	w.leaseEnd = sentAt.Add(time.Duration(answer.LeaseMillis) * time.Millisecond)
+	for _, command := range answer.Commands {
+		w.obey(command, sentAt)
+	}
+}
+
+func (w *Worker) buildReport() pimplace.Report {
+	report := pimplace.Report{
+		Worker:   w.settings.ID,
+		Domain:   w.settings.Domain,
+		Rack:     w.settings.Rack,
+		Boot:     w.boot,
+		Sequence: w.sequence,
+		Capacity: w.settings.Capacity,
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(w.tasks), pimconfig.CompareTasks) {
+		t := w.tasks[id]
+		line := pimplace.TaskReport{
+			Task: id, Epoch: t.command.Epoch, Incarnation: t.command.Incarnation, State: t.state, Checkpoint: uint64(t.done),
+		}
+		if t.state == pimplace.TaskRunning {
+			line.CPUMillis = t.command.Needs.CPUMillis / 2
+			line.MemoryMB = t.command.Needs.MemoryMB / 2
+		}
+		report.Tasks = append(report.Tasks, line)
+	}
+	return report
+}
+
+func (w *Worker) obey(command pimplace.Command, sentAt time.Time) {
+	t := w.tasks[command.Task]
+	same := t != nil && t.command.Epoch == command.Epoch && t.command.Incarnation == command.Incarnation
+	switch command.Kind {
+	case pimplace.CommandStart:
+		late := time.Since(sentAt) > time.Duration(command.StartWithinMillis)*time.Millisecond
+		if !late && !same && (t == nil || t.state != pimplace.TaskRunning) {
+			w.start(command)
+		}
+	case pimplace.CommandStop, pimplace.CommandCheckpoint:
+		switch {
+		case same && t.state == pimplace.TaskRunning:
+			w.end(t, pimplace.TaskStopped)
+		case t == nil:
+			w.tasks[command.Task] = &task{command: command, state: pimplace.TaskStopped, done: int64(command.Checkpoint)}
+		}
+	case pimplace.CommandForget:
+		if same {
+			delete(w.tasks, command.Task)
+		}
+	}
+}
+
+func (w *Worker) start(command pimplace.Command) {
+	t := &task{command: command, state: pimplace.TaskRunning, startedAt: time.Now(), done: int64(command.Checkpoint)}
+	w.tasks[command.Task] = t
+	if w.witness != nil {
+		w.witness.Started(command.Task, w.settings.Domain)
+	}
+}
--- /dev/null
+++ b/internal/state/pimconfig/state.go
@@ -0,0 +1,326 @@
+// Package pimconfig is the state machine of the configuration group: the
+// manifest in force, the marks on failure domains, the members and which failure
+// domain owns which task. It is deterministic: the same entries give the same state.
+package pimconfig
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimcodec"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	// TaskID names one task: a replica of a service or a task of a batch job.
+	TaskID struct {
+		Job   string `json:"job" msgpack:"j"`
+		Index int    `json:"index" msgpack:"i"`
+	}
+
+	// Member is an entry daemon. Its ID is its name and a nonce of its data folder,
+	// so a host that lost its disk comes back as another member.
+	Member struct {
+		ID          string `json:"id" msgpack:"i"`
+		Name        string `json:"name" msgpack:"n"`
+		Domain      string `json:"failure-domain" msgpack:"d"`
+		PeerAddress string `json:"peer-address" msgpack:"p"`
+		HTTPAddress string `json:"http-address" msgpack:"h"`
+	}
+
+	// Mark tells whether operators took a failure domain out of service.
+	Mark struct {
+		Out     bool   `json:"out" msgpack:"o"`
+		Number  uint64 `json:"number" msgpack:"n"`
+		Version uint64 `json:"version" msgpack:"v"`
+	}
+
+	// Owner tells which failure domain may run a task. Epoch is the version that
+	// named this owner, so it grows with each new owner and is never used again.
+	Owner struct {
+		Domain     string `msgpack:"d"`
+		Epoch      uint64 `msgpack:"e"`
+		Releasing  bool   `msgpack:"r,omitempty"`
+		Checkpoint uint64 `msgpack:"c,omitempty"`
+	}
+
+	// Accepted is a manifest that was committed at some version of the configuration.
+	Accepted struct {
+		Number  uint64 `msgpack:"n"`
+		Digest  string `msgpack:"d"`
+		Version uint64 `msgpack:"v"`
+	}
+
+	// State is the whole configuration. Version is the index of the last entry applied.
+	State struct {
+		Version   uint64
+		ClusterID string
+		Current   Accepted
+		Content   []byte
+		Manifest  pimmanifest.Manifest
+		History   []Accepted
+		Marks     map[string]Mark
+		Members   map[string]Member
+		Owners    map[TaskID]Owner
+		Finished  map[string]map[int]bool
+	}
+
+	// Command is an entry of the configuration log.
+	Command interface{ isCommand() }
+
+	// CommitManifest puts a checked manifest in force. Base is the number that it
+	// builds on; zero accepts any lower number.
+	CommitManifest struct {
+		Number  uint64 `msgpack:"n"`
+		Base    uint64 `msgpack:"b"`
+		Content []byte `msgpack:"c"`
+	}
+
+	// MarkDomain takes a failure domain out of service or back in. Number orders the
+	// marks of one failure domain; zero takes the next.
+	MarkDomain struct {
+		Domain string `msgpack:"d"`
+		Out    bool   `msgpack:"o"`
+		Number uint64 `msgpack:"n"`
+	}
+
+	// AddMember adds a daemon and removes the one of the same name that it replaces.
+	AddMember struct {
+		Member Member `msgpack:"m"`
+	}
+
+	// OwnerChange sets the owner of a task if its epoch is still ExpectedEpoch. An
+	// Owner with Epoch zero is a new owner and gets a new epoch.
+	OwnerChange struct {
+		Task          TaskID `msgpack:"t"`
+		ExpectedEpoch uint64 `msgpack:"x"`
+		Owner         Owner  `msgpack:"o"`
+		Delete        bool   `msgpack:"d,omitempty"`
+		Finished      bool   `msgpack:"f,omitempty"`
+	}
+
+	// ChangeOwners changes the owners of many tasks at once.
+	ChangeOwners struct {
+		Changes []OwnerChange `msgpack:"c"`
+	}
+
+	// Result is the answer to a command: a code, and the version or the reason.
+	Result struct {
+		Code    pimcode.Code `msgpack:"c"`
+		Version uint64       `msgpack:"v"`
+		Number  uint64       `msgpack:"n"`
+		Digest  string       `msgpack:"d,omitempty"`
+		Detail  string       `msgpack:"t,omitempty"`
+	}
+)
+
+const historyLength = 20_000
+
+var codec = pimcodec.NewCodec([]pimcodec.Kind{
+	{Name: "commit-manifest", Zero: CommitManifest{}},
+	{Name: "mark-domain", Zero: MarkDomain{}},
+	{Name: "add-member", Zero: AddMember{}},
+	{Name: "change-owners", Zero: ChangeOwners{}},
+})
+
+func (CommitManifest) isCommand() {}
+func (MarkDomain) isCommand()     {}
+func (AddMember) isCommand()      {}
+func (ChangeOwners) isCommand()   {}
+
+// CompareTasks orders task ids by job, then index.
+func CompareTasks(a, b TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
+
+// NewState returns the state of a cluster that was just founded by its first members.
+func NewState(clusterID string, members []Member) *State {
+	s := &State{ClusterID: clusterID}
+	s.fill()
+	for _, member := range members {
+		s.Members[member.ID] = member
+	}
+	return s
+}
+
+func (s *State) fill() {
+	if s.Marks == nil {
+		s.Marks = map[string]Mark{}
+	}
+	if s.Members == nil {
+		s.Members = map[string]Member{}
+	}
+	if s.Owners == nil {
+		s.Owners = map[TaskID]Owner{}
+	}
+	if s.Finished == nil {
+		s.Finished = map[string]map[int]bool{}
+	}
+}
+
+// Encode returns the entry of a command.
+func Encode(command Command) ([]byte, error) { return codec.Encode(command) }
+
+// Snapshot returns the state as bytes.
+func (s *State) Snapshot() ([]byte, error) { return msgpack.Marshal(s) }
+
+// Restore returns the state that Snapshot gave.
+func Restore(data []byte) (*State, error) {
+	s := &State{}
+	if len(data) > 0 {
+		if err := msgpack.Unmarshal(data, s); err != nil {
+			return nil, pimcode.New(pimcode.LogCorrupt, "configuration snapshot: %v", err)
+		}
+	}
+	s.fill()
+	return s, nil
+}
+
+// Apply runs the entry with the given index.
+func (s *State) Apply(index uint64, data []byte) Result {
+	s.Version = index
+	command, err := codec.Decode(data)
+	if err != nil {
+		return Result{Code: pimcode.Of(err), Detail: err.Error()}
+	}
+	switch c := command.(type) {
+	case CommitManifest:
+		return s.commitManifest(c)
+	case MarkDomain:
+		return s.markDomain(c)
+	case AddMember:
+		s.addMember(c.Member)
+	case ChangeOwners:
+		s.changeOwners(c.Changes)
+	}
+	return Result{Version: s.Version}
+}
+
+func (s *State) commitManifest(c CommitManifest) Result {
+	digest := pimmanifest.Digest(c.Content)
+	if known, ok := s.accepted(c.Number); ok {
+		if known.Digest == digest {
+			return Result{Version: known.Version, Number: known.Number, Digest: known.Digest}
+		}
+		return Result{Code: pimcode.ManifestConflict, Version: known.Version, Number: known.Number, Digest: known.Digest, Detail: "another content was accepted with this number"}
+	}
+	stale := c.Number <= s.Current.Number || (c.Base != 0 && c.Base != s.Current.Number)
+	if stale {
+		return Result{Code: pimcode.ManifestStale, Version: s.Current.Version, Number: s.Current.Number, Digest: s.Current.Digest, Detail: "a higher number or another base is in force"}
+	}
+	manifest, faults := pimmanifest.Parse(c.Content)
+	if len(faults) > 0 {
+		return Result{Code: pimcode.ManifestInvalid, Detail: faults[0].String()}
+	}
+	s.Manifest, s.Content = manifest, c.Content
+	s.Current = Accepted{Number: c.Number, Digest: digest, Version: s.Version}
+	s.History = append(s.History, s.Current)
+	if len(s.History) > historyLength {
+		s.History = slices.Delete(s.History, 0, len(s.History)-historyLength)
+	}
+	s.forgetFinished()
+	return Result{Version: s.Version, Number: c.Number, Digest: digest}
+}
+
+func (s *State) accepted(number uint64) (Accepted, bool) {
+	at, ok := slices.BinarySearchFunc(s.History, number, func(a Accepted, n uint64) int { return cmp.Compare(a.Number, n) })
+	if !ok {
+		return Accepted{}, false
+	}
+	return s.History[at], true
+}
+
+// forgetFinished drops the record of jobs that the manifest no longer declares.
+func (s *State) forgetFinished() {
+	maps.DeleteFunc(s.Finished, func(job string, _ map[int]bool) bool {
+		_, declared := s.Manifest.BatchJobNamed(job)
+		return !declared
+	})
+}
+
+func (s *State) markDomain(c MarkDomain) Result {
+	if !slices.Contains(s.Domains(), c.Domain) {
+		return Result{Code: pimcode.UnknownDomain, Detail: c.Domain}
+	}
+	mark := s.Marks[c.Domain]
+	if c.Number == 0 && c.Out != mark.Out {
+		c.Number = mark.Number + 1
+	}
+	if c.Number == 0 {
+		c.Number = mark.Number
+	}
+	if c.Number == mark.Number && c.Out == mark.Out {
+		return Result{Version: mark.Version, Number: mark.Number}
+	}
+	if c.Number <= mark.Number {
+		return Result{Code: pimcode.ChangeConflict, Version: mark.Version, Number: mark.Number, Detail: "another mark was accepted with this or a higher number"}
+	}
+	s.Marks[c.Domain] = Mark{Out: c.Out, Number: c.Number, Version: s.Version}
+	return Result{Version: s.Version, Number: c.Number}
+}
+
+func (s *State) addMember(member Member) {
+	for id, other := range s.Members {
+		if other.Name == member.Name && id != member.ID {
+			delete(s.Members, id)
+		}
+	}
+	s.Members[member.ID] = member
+}
+
+func (s *State) changeOwners(changes []OwnerChange) {
+	for _, change := range changes {
+		if s.Owners[change.Task].Epoch != change.ExpectedEpoch {
+			continue
+		}
+		if change.Finished {
+			s.markFinished(change.Task)
+		}
+		if change.Delete {
+			delete(s.Owners, change.Task)
+			continue
+		}
+		owner := change.Owner
+		if owner.Epoch == 0 {
+			owner.Epoch = s.Version
+		}
+		s.Owners[change.Task] = owner
+	}
+}
+
+func (s *State) markFinished(task TaskID) {
+	if s.Finished[task.Job] == nil {
+		s.Finished[task.Job] = map[int]bool{}
+	}
+	s.Finished[task.Job][task.Index] = true
+}
+
+// IsFinished reports whether a batch task has ended for good.
+func (s *State) IsFinished(task TaskID) bool { return s.Finished[task.Job][task.Index] }
+
+// Domains returns the failure domains that have members, sorted.
+func (s *State) Domains() []string {
+	seen := map[string]bool{}
+	for _, member := range s.Members {
+		seen[member.Domain] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// MembersOf returns the daemons of a failure domain, or all for "", sorted by id.
+func (s *State) MembersOf(domain string) []Member {
+	var members []Member
+	for _, id := range slices.Sorted(maps.Keys(s.Members)) {
+		if member := s.Members[id]; domain == "" || member.Domain == domain {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// IsOut reports whether a failure domain is marked out of service.
+func (s *State) IsOut(domain string) bool { return s.Marks[domain].Out }
