--- /dev/null
+++ b/internal/state/pimconsensus/election.go
@@ -0,0 +1,192 @@
+package pimconsensus
+
+import "time"
+
+// Tick lets time pass: elections, heartbeats, check-quorum.
+func (r *Replica) Tick(now time.Duration) {
+	r.now = now
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if now >= r.electionAt {
+		r.startPreVote()
+	}
+}
+
+func (r *Replica) tickLeader() {
+	if r.transferring != "" && r.now >= r.transferUntil {
+		r.transferring = ""
+	}
+	if r.membersIndex <= r.commit && !r.members.IsVoter(r.config.ID) {
+		r.becomeFollower(r.hard.Term, "")
+		return
+	}
+	if r.now-max(r.quorumAckedAt(), r.leaderSince) > 2*ElectionTimeout {
+		r.becomeFollower(r.hard.Term, "")
+		return
+	}
+	if r.now >= r.heartbeatAt {
+		r.heartbeatAt = r.now + HeartbeatInterval
+		r.heartbeat()
+	}
+}
+
+func (r *Replica) canStand() bool {
+	return r.members.IsVoter(r.config.ID) && !r.config.NeverLeads
+}
+
+func (r *Replica) startPreVote() {
+	r.resetElectionTimer()
+	if !r.canStand() {
+		return
+	}
+	r.role = PreCandidate
+	r.leader = ""
+	r.requestVotes(VoteRequest{Term: r.hard.Term + 1, PreVote: true})
+}
+
+func (r *Replica) startElection(transfer bool) {
+	r.resetElectionTimer()
+	r.role = Candidate
+	r.leader = ""
+	r.hard = HardState{Term: r.hard.Term + 1, VotedFor: r.config.ID}
+	r.saveHard()
+	r.requestVotes(VoteRequest{Term: r.hard.Term, Transfer: transfer})
+}
+
+func (r *Replica) requestVotes(request VoteRequest) {
+	r.votes = map[string]bool{r.config.ID: true}
+	request.LastIndex = r.log.lastIndex()
+	request.LastTerm = r.log.lastTerm()
+	for _, id := range r.members.Voters {
+		if id != r.config.ID {
+			r.sendDurable(id, request)
+		}
+	}
+	r.countVotes()
+}
+
+func (r *Replica) countVotes() {
+	granted := 0
+	for _, id := range r.members.Voters {
+		if r.votes[id] {
+			granted++
+		}
+	}
+	if granted < r.members.Quorum() {
+		return
+	}
+	if r.role == PreCandidate {
+		r.startElection(false)
+		return
+	}
+	r.becomeLeader()
+}
+
+func (r *Replica) becomeFollower(term uint64, leader string) {
+	if term > r.hard.Term {
+		r.hard = HardState{Term: term}
+		r.saveHard()
+	}
+	if r.role == Leader {
+		r.resetElectionTimer()
+	}
+	r.role = Follower
+	r.leader = leader
+	r.progress = nil
+	r.votes = nil
+	r.transferring = ""
+}
+
+func (r *Replica) becomeLeader() {
+	r.role = Leader
+	r.leader = r.config.ID
+	r.leaderSince = r.now
+	r.progress = make(map[string]*Progress)
+	r.trackMembers()
+	r.termStart = r.append(EntryNoop, nil)
+	r.heartbeatAt = r.now + HeartbeatInterval
+	r.heartbeat()
+}
+
+func (r *Replica) trackMembers() {
+	for _, id := range r.members.All() {
+		if _, ok := r.progress[id]; !ok && id != r.config.ID {
+			r.progress[id] = &Progress{next: r.log.lastIndex() + 1, probing: true, HeardAt: r.now}
+		}
+	}
+	for id := range r.progress {
+		if !r.members.Contains(id) {
+			delete(r.progress, id)
+		}
+	}
+}
+
+// Step takes in a message from another replica.
+func (r *Replica) Step(now time.Duration, from string, message Message) {
+	r.now = now
+	switch m := message.(type) {
+	case VoteRequest:
+		r.onVoteRequest(from, m)
+	case VoteReply:
+		r.onVoteReply(from, m)
+	case AppendRequest:
+		r.onAppendRequest(from, m)
+	case AppendReply:
+		r.onAppendReply(from, m)
+	case SnapshotRequest:
+		r.onSnapshotRequest(from, m)
+	case TimeoutNow:
+		if m.Term == r.hard.Term && r.canStand() {
+			r.startElection(true)
+		}
+	}
+}
+
+// hearsLeader reports whether a leader was heard so lately that it may hold its lease.
+func (r *Replica) hearsLeader() bool {
+	if r.role == Leader {
+		return r.HoldsLease(r.now)
+	}
+	return r.now-r.lastContact < ElectionTimeout
+}
+
+func (r *Replica) onVoteRequest(from string, m VoteRequest) {
+	if r.hearsLeader() && !m.Transfer {
+		r.send(from, VoteReply{Term: r.hard.Term, PreVote: m.PreVote})
+		return
+	}
+	upToDate := m.LastTerm > r.log.lastTerm() ||
+		(m.LastTerm == r.log.lastTerm() && m.LastIndex >= r.log.lastIndex())
+	if m.PreVote {
+		granted := upToDate && m.Term > r.hard.Term
+		r.send(from, VoteReply{Term: r.hard.Term, PreVote: true, Granted: granted})
+		return
+	}
+	if m.Term > r.hard.Term {
+		r.becomeFollower(m.Term, "")
+	}
+	free := r.hard.VotedFor == "" || r.hard.VotedFor == from
+	granted := m.Term == r.hard.Term && r.role == Follower && free && upToDate
+	if granted {
+		r.hard.VotedFor = from
+		r.saveHard()
+		r.resetElectionTimer()
+	}
+	r.sendDurable(from, VoteReply{Term: r.hard.Term, Granted: granted})
+}
+
+func (r *Replica) onVoteReply(from string, m VoteReply) {
+	if m.Term > r.hard.Term {
+		r.becomeFollower(m.Term, "")
+		return
+	}
+	expected := r.role == Candidate && !m.PreVote && m.Term == r.hard.Term
+	expected = expected || (r.role == PreCandidate && m.PreVote)
+	if !expected || !m.Granted {
+		return
+	}
+	r.votes[from] = true
+	r.countVotes()
+}
--- /dev/null
+++ b/internal/state/pimconsensus/replica.go
@@ -0,0 +1,348 @@
+package pimconsensus
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+)
+
+type (
+	// Saved is what a replica's storage holds at start.
+	Saved struct {
+		Hard     HardState
+		Snapshot Snapshot
+		Entries  []Entry
+	}
+
+	// Config names a replica. Boot differs at each process start. NeverLeads keeps a
+	// replica from standing for election, as for a voter outside the group's failure domain.
+	Config struct {
+		ID         string
+		Boot       uint64
+		Seed       uint64
+		NeverLeads bool
+	}
+
+	// Progress is what a leader knows of another replica.
+	Progress struct {
+		Match   uint64
+		Applied uint64
+		// LastAck is the send time of the newest request that the replica answered.
+		LastAck time.Duration
+		// HeardAt is when the last answer came in.
+		HeardAt time.Duration
+
+		next       uint64
+		boot       uint64
+		clock      time.Duration
+		clockIndex uint64
+		snapshotAt time.Duration
+		sentAt     time.Duration
+		probing    bool
+	}
+
+	// Replica is one member of a group.
+	Replica struct {
+		config Config
+		random *rand.Rand
+		hard   HardState
+		role   Role
+		leader string
+		log    entryLog
+		output Output
+
+		members      Members
+		membersIndex uint64
+		commit       uint64
+		applied      uint64
+		persisted    uint64
+
+		now             time.Duration
+		lastContact     time.Duration
+		electionAt      time.Duration
+		heartbeatAt     time.Duration
+		leaderSince     time.Duration
+		termStart       uint64
+		votes           map[string]bool
+		progress        map[string]*Progress
+		transferring    string
+		transferUntil   time.Duration
+		pendingEcho     time.Duration
+		pendingEchoAt   uint64
+		currentAsOf     time.Duration
+		haveCurrentAsOf bool
+	}
+)
+
+// Founding returns the first snapshot of a new group with the given voters.
+func Founding(voters []string) Snapshot {
+	return Snapshot{Index: 1, Term: 1, Members: Members{Voters: voters}}
+}
+
+// NewReplica returns a follower. A replica grants no vote within ElectionTimeout
+// of its start, since it can't know what it told a leader before.
+func NewReplica(config Config, saved Saved, now time.Duration) *Replica {
+	r := &Replica{
+		config: config,
+		random: rand.New(rand.NewPCG(config.Seed, config.Boot)),
+		hard:   saved.Hard,
+		log:    entryLog{snapshot: saved.Snapshot, entries: saved.Entries},
+		now:    now,
+	}
+	r.commit = saved.Snapshot.Index
+	r.applied = saved.Snapshot.Index
+	r.persisted = r.log.lastIndex()
+	r.lastContact = now
+	r.reloadMembers()
+	r.resetElectionTimer()
+	return r
+}
+
+// ID returns the replica's own name.
+func (r *Replica) ID() string { return r.config.ID }
+
+// Role returns the replica's role.
+func (r *Replica) Role() Role { return r.role }
+
+// IsLeader reports whether the replica leads; see HoldsLease for reads.
+func (r *Replica) IsLeader() bool { return r.role == Leader }
+
+// LeaderID returns the leader of the term as far as known, or "".
+func (r *Replica) LeaderID() string { return r.leader }
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 { return r.hard.Term }
+
+// Members returns the newest membership in the log.
+func (r *Replica) Members() Members { return r.members }
+
+// Commit returns the index of the last committed entry.
+func (r *Replica) Commit() uint64 { return r.commit }
+
+// Applied returns the index of the last entry handed out for applying.
+func (r *Replica) Applied() uint64 { return r.applied }
+
+// LastIndex returns the index of the last entry.
+func (r *Replica) LastIndex() uint64 { return r.log.lastIndex() }
+
+// SnapshotIndex returns the index up to which the log was compacted.
+func (r *Replica) SnapshotIndex() uint64 { return r.log.snapshot.Index }
+
+// LeaderSince returns when this replica became leader.
+func (r *Replica) LeaderSince() time.Duration { return r.leaderSince }
+
+// ProgressOf returns what the leader knows of another replica.
+func (r *Replica) ProgressOf(id string) (Progress, bool) {
+	progress, ok := r.progress[id]
+	if !ok {
+		return Progress{}, false
+	}
+	return *progress, true
+}
+
+// HoldsLease reports whether no other replica can be leader at time now.
+func (r *Replica) HoldsLease(now time.Duration) bool {
+	if r.role != Leader || r.transferring != "" {
+		return false
+	}
+	return now < r.quorumAckedAt()+LeaseDuration
+}
+
+// Ready reports whether a leader holds its lease and has applied all that earlier terms committed.
+func (r *Replica) Ready(now time.Duration) bool {
+	return r.HoldsLease(now) && r.applied >= r.termStart
+}
+
+// CurrentAsOf returns the latest own clock time at which the applied log was known
+// to be the whole committed log, and false if that was never known.
+func (r *Replica) CurrentAsOf(now time.Duration) (time.Duration, bool) {
+	if r.role == Leader {
+		if !r.Ready(now) {
+			return r.currentAsOf, r.haveCurrentAsOf
+		}
+		return r.quorumAckedAt(), true
+	}
+	return r.currentAsOf, r.haveCurrentAsOf
+}
+
+// Propose appends a command and returns its index and term.
+func (r *Replica) Propose(now time.Duration, data []byte) (uint64, uint64, error) {
+	r.now = now
+	if r.role != Leader {
+		return 0, 0, pimcode.New(pimcode.NotLeader, "leader is %q", r.leader)
+	}
+	if r.transferring != "" {
+		return 0, 0, pimcode.New(pimcode.NotLeader, "leadership moves to %q", r.transferring)
+	}
+	index := r.append(EntryCommand, data)
+	r.broadcast()
+	return index, r.hard.Term, nil
+}
+
+// ProposeMembers appends a membership that differs from the current one by one replica.
+func (r *Replica) ProposeMembers(now time.Duration, members Members) error {
+	r.now = now
+	if r.role != Leader || r.transferring != "" {
+		return pimcode.New(pimcode.NotLeader, "leader is %q", r.leader)
+	}
+	if r.membersIndex > r.commit || r.commit < r.termStart {
+		return pimcode.New(pimcode.MembershipPending, "entry %d is not committed", max(r.membersIndex, r.termStart))
+	}
+	data, err := msgpack.Marshal(members)
+	if err != nil {
+		return pimcode.New(pimcode.ProgramFailed, "encode members: %v", err)
+	}
+	r.append(EntryMembers, data)
+	r.broadcast()
+	return nil
+}
+
+// TransferTo hands leadership to another voter, which must have all entries soon.
+func (r *Replica) TransferTo(now time.Duration, id string) bool {
+	r.now = now
+	if r.role != Leader || !r.members.IsVoter(id) || id == r.config.ID {
+		return false
+	}
+	r.transferring = id
+	r.transferUntil = now + ElectionTimeout
+	r.sendAppend(id)
+	r.finishTransfer(id)
+	return true
+}
+
+// Persisted tells that entries up to index, as appended in term, are synced.
+func (r *Replica) Persisted(now time.Duration, index, term uint64) {
+	r.now = now
+	stored, ok := r.log.termAt(index)
+	if !ok || stored != term {
+		return
+	}
+	r.persisted = max(r.persisted, index)
+	if r.role == Leader {
+		r.advanceCommit()
+	}
+}
+
+// Compact drops entries up to index, which a snapshot of the state machine replaces.
+func (r *Replica) Compact(index uint64, data []byte) (Snapshot, bool) {
+	term, ok := r.log.termAt(index)
+	if !ok || index > r.applied || index <= r.log.snapshot.Index {
+		return Snapshot{}, false
+	}
+	snapshot := Snapshot{Index: index, Term: term, Members: r.membersAt(index), Data: data}
+	r.log.compactTo(snapshot)
+	return snapshot, true
+}
+
+// Take returns and clears what has been produced since the last call.
+func (r *Replica) Take() Output {
+	r.collectCommitted()
+	output := r.output
+	r.output = Output{}
+	return output
+}
+
+func (r *Replica) collectCommitted() {
+	for r.applied < r.commit {
+		r.applied++
+		entry := r.log.entries[r.applied-r.log.firstIndex()]
+		r.output.Committed = append(r.output.Committed, entry)
+	}
+	r.settleEcho()
+}
+
+func (r *Replica) append(kind EntryKind, data []byte) uint64 {
+	entry := Entry{Index: r.log.lastIndex() + 1, Term: r.hard.Term, Kind: kind, Data: data}
+	r.store([]Entry{entry})
+	return entry.Index
+}
+
+// store adds entries to the end of the log and to the output.
+func (r *Replica) store(entries []Entry) {
+	r.log.entries = append(r.log.entries, entries...)
+	r.output.Entries = append(r.output.Entries, entries...)
+	for _, entry := range entries {
+		if entry.Kind == EntryMembers {
+			r.reloadMembers()
+			return
+		}
+	}
+}
+
+func (r *Replica) reloadMembers() {
+	r.members, r.membersIndex = r.log.snapshot.Members, r.log.snapshot.Index
+	for i := len(r.log.entries) - 1; i >= 0; i-- {
+		if r.log.entries[i].Kind != EntryMembers {
+			continue
+		}
+		r.members, r.membersIndex = decodeMembers(r.log.entries[i]), r.log.entries[i].Index
+		break
+	}
+	if r.role == Leader {
+		r.trackMembers()
+	}
+}
+
+func (r *Replica) membersAt(index uint64) Members {
+	members := r.log.snapshot.Members
+	for _, entry := range r.log.entries {
+		if entry.Index <= index && entry.Kind == EntryMembers {
+			members = decodeMembers(entry)
+		}
+	}
+	return members
+}
+
+func decodeMembers(entry Entry) Members {
+	var members Members
+	if err := msgpack.Unmarshal(entry.Data, &members); err != nil {
+		return Members{}
+	}
+	return members
+}
+
+func (r *Replica) send(to string, message Message) {
+	r.output.Immediate = append(r.output.Immediate, Envelope{To: to, Message: message})
+}
+
+func (r *Replica) sendDurable(to string, message Message) {
+	r.output.Durable = append(r.output.Durable, Envelope{To: to, Message: message})
+}
+
+func (r *Replica) saveHard() {
+	hard := r.hard
+	r.output.Hard = &hard
+}
+
+func (r *Replica) resetElectionTimer() {
+	spread := time.Duration(r.random.Int64N(int64(ElectionTimeout)))
+	r.electionAt = r.now + ElectionTimeout + spread
+}
+
+// quorumAckedAt returns the latest time at which a majority, this leader
+// included, is known to have still followed it.
+func (r *Replica) quorumAckedAt() time.Duration {
+	times := make([]time.Duration, 0, len(r.members.Voters))
+	for _, id := range r.members.Voters {
+		switch progress := r.progress[id]; {
+		case id == r.config.ID:
+			times = append(times, r.now)
+		case progress != nil:
+			times = append(times, progress.LastAck)
+		default:
+			times = append(times, 0)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)-r.members.Quorum()]
+}
+
+// IsTransferring reports whether the leader is handing over its leadership.
+func (r *Replica) IsTransferring() bool { return r.transferring != "" }
--- /dev/null
+++ b/internal/state/pimdomain/journal.go
@@ -0,0 +1,68 @@
+package pimdomain
+
+import "github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+
+// Lookup returns what the journal would answer to a BeginRequest without an entry
+// in the log, and false if an entry is needed.
+func (s *State) Lookup(c BeginRequest) (Result, bool) {
+	entry, ok := s.Journal[c.RequestID]
+	if !ok || entry.State == RequestNotRun {
+		return Result{}, false
+	}
+	return entry.answer(c), true
+}
+
+func (s *State) begin(c BeginRequest) Result {
+	entry, ok := s.Journal[c.RequestID]
+	if ok && entry.State != RequestNotRun {
+		return entry.answer(c)
+	}
+	if ok && entry.Digest != c.Digest {
+		return Result{Code: pimcode.RequestIDReused, Entry: entry}
+	}
+	if !ok && len(s.Journal) >= MaxJournalEntries {
+		return Result{Code: pimcode.JournalFull}
+	}
+	entry = JournalEntry{Attempt: c.Attempt, Digest: c.Digest, State: RequestBegun, Age: s.Clock}
+	s.Journal[c.RequestID] = entry
+	return Result{Proceed: true, Entry: entry}
+}
+
+// answer tells a later attempt what became of the recorded one. The recorded
+// attempt itself may proceed, so that its own entry can be proposed twice.
+func (e JournalEntry) answer(c BeginRequest) Result {
+	if e.Digest != c.Digest {
+		return Result{Code: pimcode.RequestIDReused, Entry: e}
+	}
+	if e.State == RequestBegun && e.Attempt == c.Attempt {
+		return Result{Proceed: true, Entry: e}
+	}
+	switch e.State {
+	case RequestBegun:
+		return Result{Code: pimcode.InProgress, Entry: e}
+	case RequestRan:
+		return Result{Code: e.Code, Entry: e}
+	default:
+		return Result{Code: pimcode.OutcomeUnknown, Entry: e}
+	}
+}
+
+// endRequest records an end. A late whole answer replaces "unknown"; nothing replaces "ran".
+func (s *State) endRequest(c EndRequest) Result {
+	entry, ok := s.Journal[c.RequestID]
+	if !ok || entry.Attempt != c.Attempt || entry.State == RequestRan || entry.State == RequestNotRun {
+		return Result{Entry: entry}
+	}
+	if entry.State == RequestUnknown && c.State != RequestRan {
+		return Result{Entry: entry}
+	}
+	entry.State = c.State
+	entry.Code = c.Code
+	entry.Answer = c.Answer
+	if len(c.Answer) > MaxAnswerBytes {
+		entry.Answer = nil
+		entry.Code = pimcode.AnswerNotKept
+	}
+	s.Journal[c.RequestID] = entry
+	return Result{Entry: entry}
+}
--- /dev/null
+++ b/internal/state/pimdomain/state.go
@@ -0,0 +1,316 @@
+// Package pimdomain is the state machine of a failure domain's group: which
+// worker runs which task under which incarnation, the journal of non-idempotent
+// requests, and the quarantine of workers. It is deterministic.
+package pimdomain
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimcodec"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	// Outcome tells how an incarnation of a task ended.
+	Outcome uint8
+
+	// RequestState is what the journal knows of a request.
+	RequestState uint8
+
+	// Task is the row of a task that this failure domain owns or owned. Worker is
+	// empty when no incarnation runs. Released rows are never started again. Needs is
+	// what the running incarnation was started with, also after the manifest changed.
+	Task struct {
+		Epoch       uint64  `msgpack:"e"`
+		Incarnation uint64  `msgpack:"i"`
+		Worker      string  `msgpack:"w"`
+		Checkpoint  uint64  `msgpack:"c"`
+		LastOutcome Outcome `msgpack:"o"`
+		Failures    int     `msgpack:"f"`
+		Released    bool    `msgpack:"r"`
+
+		Needs pimmanifest.Resources `msgpack:"n"`
+	}
+
+	// JournalEntry is what is kept of a non-idempotent request.
+	JournalEntry struct {
+		Attempt string        `msgpack:"a"`
+		Digest  string        `msgpack:"d"`
+		State   RequestState  `msgpack:"s"`
+		Code    pimcode.Code  `msgpack:"c"`
+		Answer  []byte        `msgpack:"b"`
+		Age     time.Duration `msgpack:"g"`
+	}
+
+	// State is the whole state of the group. Clock sums the time that leaders reported.
+	State struct {
+		Clock       time.Duration
+		Tasks       map[pimconfig.TaskID]Task
+		Journal     map[string]JournalEntry
+		Quarantined map[string]bool
+	}
+
+	// Command is an entry of the group's log.
+	Command interface{ isCommand() }
+
+	// Assignment starts the next incarnation of a task on a worker.
+	Assignment struct {
+		Task                pimconfig.TaskID `msgpack:"t"`
+		Epoch               uint64           `msgpack:"e"`
+		ExpectedIncarnation uint64           `msgpack:"i"`
+		Worker              string           `msgpack:"w"`
+		Checkpoint          uint64           `msgpack:"c"`
+
+		Needs pimmanifest.Resources `msgpack:"n"`
+	}
+
+	// Ending ends an incarnation of a task.
+	Ending struct {
+		Task        pimconfig.TaskID `msgpack:"t"`
+		Epoch       uint64           `msgpack:"e"`
+		Incarnation uint64           `msgpack:"i"`
+		Outcome     Outcome          `msgpack:"o"`
+		Checkpoint  uint64           `msgpack:"c"`
+	}
+
+	// AssignTasks assigns tasks to workers, each only where its row is as expected.
+	AssignTasks struct {
+		Assignments []Assignment `msgpack:"a"`
+	}
+
+	// EndTasks ends incarnations, each only if it still runs.
+	EndTasks struct {
+		Endings []Ending `msgpack:"e"`
+	}
+
+	// ReleaseTasks gives up tasks that do not run, so that another failure domain may own them.
+	ReleaseTasks struct {
+		Tasks map[pimconfig.TaskID]uint64 `msgpack:"t"`
+	}
+
+	// ForgetTasks drops rows whose epoch is over.
+	ForgetTasks struct {
+		Tasks map[pimconfig.TaskID]uint64 `msgpack:"t"`
+	}
+
+	// BeginRequest records that a non-idempotent request is about to be sent.
+	BeginRequest struct {
+		RequestID string `msgpack:"r"`
+		Attempt   string `msgpack:"a"`
+		Digest    string `msgpack:"d"`
+	}
+
+	// EndRequest records how an attempt ended.
+	EndRequest struct {
+		RequestID string       `msgpack:"r"`
+		Attempt   string       `msgpack:"a"`
+		State     RequestState `msgpack:"s"`
+		Code      pimcode.Code `msgpack:"c"`
+		Answer    []byte       `msgpack:"b"`
+	}
+
+	// AdvanceClock adds time to the state's clock and drops journal entries older than Keep.
+	AdvanceClock struct {
+		By   time.Duration `msgpack:"b"`
+		Keep time.Duration `msgpack:"k"`
+	}
+
+	// QuarantineWorker sets a worker aside or takes it back.
+	QuarantineWorker struct {
+		Worker string `msgpack:"w"`
+		Aside  bool   `msgpack:"a"`
+	}
+
+	// Result is the answer to a command. Proceed tells that a BeginRequest may be sent.
+	Result struct {
+		Code    pimcode.Code
+		Proceed bool
+		Entry   JournalEntry
+	}
+)
+
+// Outcomes of an incarnation.
+const (
+	OutcomeNone Outcome = iota
+	OutcomeFinished
+	OutcomeFailed
+	OutcomeStopped
+	OutcomeLost
+)
+
+// States of a journaled request.
+const (
+	RequestBegun RequestState = iota
+	RequestRan
+	RequestUnknown
+	RequestNotRun
+)
+
+// Limits of the journal.
+const (
+	MaxJournalEntries = 200_000
+	MaxAnswerBytes    = 64 << 10
+)
+
+var codec = pimcodec.NewCodec([]pimcodec.Kind{
+	{Name: "assign-tasks", Zero: AssignTasks{}},
+	{Name: "end-tasks", Zero: EndTasks{}},
+	{Name: "release-tasks", Zero: ReleaseTasks{}},
+	{Name: "forget-tasks", Zero: ForgetTasks{}},
+	{Name: "begin-request", Zero: BeginRequest{}},
+	{Name: "end-request", Zero: EndRequest{}},
+	{Name: "advance-clock", Zero: AdvanceClock{}},
+	{Name: "quarantine-worker", Zero: QuarantineWorker{}},
+})
+
+func (AssignTasks) isCommand()      {}
+func (EndTasks) isCommand()         {}
+func (ReleaseTasks) isCommand()     {}
+func (ForgetTasks) isCommand()      {}
+func (BeginRequest) isCommand()     {}
+func (EndRequest) isCommand()       {}
+func (AdvanceClock) isCommand()     {}
+func (QuarantineWorker) isCommand() {}
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	return [...]string{"none", "finished", "failed", "stopped", "lost"}[o]
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	s := &State{}
+	s.fill()
+	return s
+}
+
+func (s *State) fill() {
+	if s.Tasks == nil {
+		s.Tasks = map[pimconfig.TaskID]Task{}
+	}
+	if s.Journal == nil {
+		s.Journal = map[string]JournalEntry{}
+	}
+	if s.Quarantined == nil {
+		s.Quarantined = map[string]bool{}
+	}
+}
+
+// Encode returns the entry of a command.
+func Encode(command Command) ([]byte, error) { return codec.Encode(command) }
+
+// Snapshot returns the state as bytes.
+func (s *State) Snapshot() ([]byte, error) { return msgpack.Marshal(s) }
+
+// Restore returns the state that Snapshot gave.
+func Restore(data []byte) (*State, error) {
+	s := &State{}
+	if len(data) > 0 {
+		if err := msgpack.Unmarshal(data, s); err != nil {
+			return nil, pimcode.New(pimcode.LogCorrupt, "failure domain snapshot: %v", err)
+		}
+	}
+	s.fill()
+	return s, nil
+}
+
+// Apply runs one entry.
+func (s *State) Apply(data []byte) Result {
+	command, err := codec.Decode(data)
+	if err != nil {
+		return Result{Code: pimcode.Of(err)}
+	}
+	switch c := command.(type) {
+	case AssignTasks:
+		s.assign(c.Assignments)
+	case EndTasks:
+		s.end(c.Endings)
+	case ReleaseTasks:
+		s.release(c.Tasks)
+	case ForgetTasks:
+		s.forget(c.Tasks)
+	case BeginRequest:
+		return s.begin(c)
+	case EndRequest:
+		return s.endRequest(c)
+	case AdvanceClock:
+		s.advance(c)
+	case QuarantineWorker:
+		s.quarantine(c)
+	}
+	return Result{}
+}
+
+func (s *State) assign(assignments []Assignment) {
+	for _, a := range assignments {
+		row := s.Tasks[a.Task]
+		if a.Epoch > row.Epoch && row.Worker == "" {
+			row = Task{Epoch: a.Epoch, Checkpoint: a.Checkpoint}
+		}
+		free := row.Worker == "" && !row.Released && row.LastOutcome != OutcomeFinished
+		if row.Epoch != a.Epoch || row.Incarnation != a.ExpectedIncarnation || !free {
+			continue
+		}
+		row.Incarnation++
+		row.Worker = a.Worker
+		row.Needs = a.Needs
+		s.Tasks[a.Task] = row
+	}
+}
+
+func (s *State) end(endings []Ending) {
+	for _, e := range endings {
+		row, ok := s.Tasks[e.Task]
+		if !ok || row.Epoch != e.Epoch || row.Incarnation != e.Incarnation || row.Worker == "" {
+			continue
+		}
+		row.Worker = ""
+		row.LastOutcome = e.Outcome
+		row.Checkpoint = max(row.Checkpoint, e.Checkpoint)
+		if e.Outcome == OutcomeFailed {
+			row.Failures++
+		}
+		s.Tasks[e.Task] = row
+	}
+}
+
+func (s *State) release(tasks map[pimconfig.TaskID]uint64) {
+	for id, epoch := range tasks {
+		row := s.Tasks[id]
+		if row.Worker != "" || row.Epoch > epoch || row.LastOutcome == OutcomeFinished {
+			continue
+		}
+		row.Epoch = epoch
+		row.Released = true
+		s.Tasks[id] = row
+	}
+}
+
+func (s *State) forget(tasks map[pimconfig.TaskID]uint64) {
+	for id, epoch := range tasks {
+		if row, ok := s.Tasks[id]; ok && row.Epoch <= epoch && row.Worker == "" {
+			delete(s.Tasks, id)
+		}
+	}
+}
+
+func (s *State) advance(c AdvanceClock) {
+	s.Clock += c.By
+	for id, entry := range s.Journal {
+		if s.Clock-entry.Age > c.Keep {
+			delete(s.Journal, id)
+		}
+	}
+}
+
+func (s *State) quarantine(c QuarantineWorker) {
+	if c.Aside {
+		s.Quarantined[c.Worker] = true
+		return
+	}
+	delete(s.Quarantined, c.Worker)
+}
--- /dev/null
+++ b/internal/state/pimlog/store.go
@@ -0,0 +1,337 @@
+package pimlog
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+)
+
+type (
+	// File is an open segment. Tests replace it to make writes and syncs fail.
+	File interface {
+		Write(data []byte) (int, error)
+		Sync() error
+		Close() error
+	}
+
+	// OpenFile opens a segment for appending.
+	OpenFile func(path string) (File, error)
+
+	// Batch is what one sync makes durable.
+	Batch struct {
+		Hard    *pimconsensus.HardState `msgpack:"h,omitempty"`
+		Entries []pimconsensus.Entry    `msgpack:"e,omitempty"`
+	}
+
+	// Store writes the batches and snapshots of one group. It is used by one goroutine at a time.
+	Store struct {
+		folder   string
+		open     OpenFile
+		segment  File
+		sequence uint64
+		saved    pimconsensus.Saved
+		failed   error
+	}
+
+	// Lock is held on a data folder by the one process that uses it.
+	Lock struct{ file *os.File }
+)
+
+const (
+	lockName       = "lock"
+	segmentPattern = "segment-%016x.log"
+	snapshotName   = "snapshot"
+	folderMode     = 0o755
+	fileMode       = 0o644
+)
+
+// LockFolder makes the folder and takes its lock, or fails with folder-locked.
+func LockFolder(folder string) (*Lock, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	file, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		file.Close()
+		return nil, pimcode.New(pimcode.FolderLocked, "data folder %q is used by another process", folder)
+	}
+	return &Lock{file: file}, nil
+}
+
+// Release gives the lock back.
+func (l *Lock) Release() error { return l.file.Close() }
+
+// OpenSegment is the OpenFile of a real disk.
+func OpenSegment(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Open reads a group's folder and returns its store and what it holds. A write
+// that was cut off at the end is removed; any other damage is log-corrupt.
+func Open(folder string, open OpenFile) (*Store, pimconsensus.Saved, error) {
+	s := &Store{folder: folder, open: open}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, s.saved, pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	if err := s.load(); err != nil {
+		return nil, s.saved, err
+	}
+	saved := s.saved
+	saved.Entries = slices.Clone(saved.Entries)
+	return s, saved, nil
+}
+
+func (s *Store) load() error {
+	if err := s.loadSnapshot(); err != nil {
+		return err
+	}
+	names, err := filepath.Glob(filepath.Join(s.folder, "segment-*.log"))
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	slices.Sort(names)
+	for i, name := range names {
+		if err := s.loadSegment(name, i == len(names)-1); err != nil {
+			return err
+		}
+		if _, err := fmt.Sscanf(filepath.Base(name), segmentPattern, &s.sequence); err != nil {
+			return pimcode.New(pimcode.LogCorrupt, "file %q has an odd name", name)
+		}
+	}
+	return s.startSegment()
+}
+
+func (s *Store) loadSnapshot() error {
+	path := filepath.Join(s.folder, snapshotName)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	payload, size, ok := readFrame(data)
+	if !ok || size != len(data) {
+		return pimcode.New(pimcode.LogCorrupt, "file %q, offset 0: the snapshot fails its checksum", path)
+	}
+	if err := msgpack.Unmarshal(payload, &s.saved.Snapshot); err != nil {
+		return pimcode.New(pimcode.LogCorrupt, "file %q, offset 0: %v", path, err)
+	}
+	return nil
+}
+
+func (s *Store) loadSegment(path string, last bool) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	for offset := 0; offset < len(data); {
+		payload, size, ok := readFrame(data[offset:])
+		if !ok {
+			if !last || hasFrame(data[offset+1:]) {
+				return pimcode.New(pimcode.LogCorrupt, "file %q, offset %d: the record fails its checksum", path, offset)
+			}
+			return cutTail(path, offset)
+		}
+		if err := s.replay(payload); err != nil {
+			return pimcode.New(pimcode.LogCorrupt, "file %q, offset %d: %v", path, offset, err)
+		}
+		offset += size
+	}
+	return nil
+}
+
+func cutTail(path string, offset int) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	defer file.Close()
+	if err := file.Truncate(int64(offset)); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	if err := file.Sync(); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	return nil
+}
+
+func (s *Store) replay(payload []byte) error {
+	var batch Batch
+	if err := msgpack.Unmarshal(payload, &batch); err != nil {
+		return err
+	}
+	return s.remember(batch)
+}
+
+// remember applies a batch to the copy of the state in memory.
+func (s *Store) remember(batch Batch) error {
+	if batch.Hard != nil {
+		s.saved.Hard = *batch.Hard
+	}
+	for _, entry := range batch.Entries {
+		if entry.Index <= s.saved.Snapshot.Index || entry.Term < s.saved.Snapshot.Term {
+			continue
+		}
+		keep := entry.Index - s.saved.Snapshot.Index - 1
+		if keep > uint64(len(s.saved.Entries)) {
+			return fmt.Errorf("entry %d follows entry %d", entry.Index, s.saved.Snapshot.Index+uint64(len(s.saved.Entries)))
+		}
+		s.saved.Entries = append(s.saved.Entries[:keep], entry)
+	}
+	return nil
+}
+
+// Append writes a batch and syncs it. After a failed write or sync the store
+// refuses everything, since what the disk holds is no longer known.
+func (s *Store) Append(batch Batch) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	payload, err := msgpack.Marshal(batch)
+	if err != nil {
+		return pimcode.New(pimcode.ProgramFailed, "encode batch: %v", err)
+	}
+	if err := s.writeFrame(s.segment, payload); err != nil {
+		s.failed = err
+		return err
+	}
+	return s.remember(batch)
+}
+
+func (s *Store) writeFrame(file File, payload []byte) error {
+	frame := appendFrame(make([]byte, 0, frameHeaderBytes+len(payload)), payload)
+	if _, err := file.Write(frame); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "write in %q: %v", s.folder, err)
+	}
+	if err := file.Sync(); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "sync in %q: %v", s.folder, err)
+	}
+	return nil
+}
+
+// SaveSnapshot makes a snapshot durable and removes the segments that it replaces.
+func (s *Store) SaveSnapshot(snapshot pimconsensus.Snapshot) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if snapshot.Index <= s.saved.Snapshot.Index {
+		return nil
+	}
+	if err := s.writeSnapshot(snapshot); err != nil {
+		s.failed = err
+		return err
+	}
+	s.forgetUpTo(snapshot)
+	if err := s.startSegment(); err != nil {
+		s.failed = err
+		return err
+	}
+	return nil
+}
+
+func (s *Store) writeSnapshot(snapshot pimconsensus.Snapshot) error {
+	payload, err := msgpack.Marshal(snapshot)
+	if err != nil {
+		return pimcode.New(pimcode.ProgramFailed, "encode snapshot: %v", err)
+	}
+	temporary := filepath.Join(s.folder, snapshotName+".new")
+	if err := os.Remove(temporary); err != nil && !os.IsNotExist(err) {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	file, err := s.open(temporary)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	err = s.writeFrame(file, payload)
+	if closeErr := file.Close(); err == nil && closeErr != nil {
+		err = pimcode.New(pimcode.DiskFailed, "%v", closeErr)
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, filepath.Join(s.folder, snapshotName)); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	return syncFolder(s.folder)
+}
+
+func (s *Store) forgetUpTo(snapshot pimconsensus.Snapshot) {
+	kept := snapshot.Index - s.saved.Snapshot.Index
+	last := uint64(len(s.saved.Entries))
+	matches := kept <= last && s.saved.Entries[kept-1].Term == snapshot.Term
+	if matches {
+		s.saved.Entries = slices.Clone(s.saved.Entries[kept:])
+	} else {
+		s.saved.Entries = nil
+	}
+	s.saved.Snapshot = snapshot
+}
+
+// startSegment opens a new segment that begins with the current state, then removes the older ones.
+func (s *Store) startSegment() error {
+	if s.segment != nil {
+		s.segment.Close()
+	}
+	s.sequence++
+	name := fmt.Sprintf(segmentPattern, s.sequence)
+	segment, err := s.open(filepath.Join(s.folder, name))
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	s.segment = segment
+	hard := s.saved.Hard
+	payload, err := msgpack.Marshal(Batch{Hard: &hard, Entries: s.saved.Entries})
+	if err != nil {
+		return pimcode.New(pimcode.ProgramFailed, "encode batch: %v", err)
+	}
+	if err := s.writeFrame(segment, payload); err != nil {
+		return err
+	}
+	if err := syncFolder(s.folder); err != nil {
+		return err
+	}
+	return s.removeSegmentsBefore(name)
+}
+
+func (s *Store) removeSegmentsBefore(name string) error {
+	files, err := os.ReadDir(s.folder)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	for _, file := range files {
+		if !strings.HasPrefix(file.Name(), "segment-") || file.Name() >= name {
+			continue
+		}
+		if err := os.Remove(filepath.Join(s.folder, file.Name())); err != nil {
+			return pimcode.New(pimcode.DiskFailed, "%v", err)
+		}
+	}
+	return nil
+}
+
+// Close closes the open segment.
+func (s *Store) Close() error { return s.segment.Close() }
+
+func syncFolder(folder string) error {
+	file, err := os.Open(folder)
+	if err != nil {
+		return pimcode.New(pimcode.DiskFailed, "%v", err)
+	}
+	defer file.Close()
+	if err := file.Sync(); err != nil {
+		return pimcode.New(pimcode.DiskFailed, "sync folder %q: %v", folder, err)
+	}
+	return nil
+}
