Random faults over virtual time, and four faults that they found

Cause: the decision core had only been run undisturbed. A small world of fakes (network, disks, endpoints, workers, callers that come back) runs six nodes in virtual time with kills, lost disks, cuts, freezes, failing syncs and a bad network. Also: a released slot searched all calls; it is found by its attempt now.

--- a/internal/node/pimcore/calls.go
+++ b/internal/node/pimcore/calls.go
@@ -57,6 +57,9 @@
 	n.lastCall++
 	c := &pendingCall{id: n.lastCall, group: group, call: call, origin: from, deadline: n.now + ttl}
 	n.calls[c.id] = c
+	if slot, ok := from.(slotOrigin); ok {
+		n.slotCalls[slot.attempt] = c.id
+	}
 	n.sendCall(c)
 }
 
@@ -202,6 +205,7 @@
 		journaled, _ := reply.(pimmessage.Journaled)
 		n.onJournaled(o.row, journaled.Result, code)
 	case slotOrigin:
+		delete(n.slotCalls, o.attempt)
 		if code != pimcode.OK {
 			n.router.OnSlot(n.now, o.domain, pimslot.Reply{Attempt: o.attempt, Code: code, Term: ^uint64(0)})
 		}
--- a/internal/node/pimcore/domain_lead.go
+++ b/internal/node/pimcore/domain_lead.go
@@ -149,6 +149,7 @@
 		lead.ownedAt = n.state.Version
 	}
 	return pimplace.View{
+		Current:       n.HasConfigLease(),
 		Owned:         lead.owned,
 		State:         lead.group.tables,
 		Applied:       lead.group.replica.Applied(),
--- /dev/null
+++ b/internal/node/pimcore/fakes_test.go
@@ -0,0 +1,459 @@
+package pimcore_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+type (
+	fakeEndpoint struct {
+		announcement pimslot.Announcement
+		running      map[string]bool
+		work         time.Duration
+		silent       bool
+	}
+
+	fakeWorker struct {
+		id       string
+		domain   string
+		sequence uint64
+		leaseEnd time.Duration
+		tasks    map[pimconfig.TaskID]*fakeTask
+		failAll  bool
+		dead     bool
+	}
+
+	fakeTask struct {
+		command pimplace.Command
+		state   pimplace.TaskState
+		started time.Duration
+		saved   uint64
+	}
+
+	// startSeen is a start of a task as a worker saw it.
+	startSeen struct {
+		task   pimconfig.TaskID
+		domain string
+		at     time.Duration
+	}
+
+	// record is what the fakes saw.
+	record struct {
+		ran        map[string]int
+		idempotent map[string]bool
+		answers    map[string]pimrequest.Answer
+		active     map[pimconfig.TaskID]int
+		finished   map[pimconfig.TaskID]int
+		starts     []startSeen
+		resumes    map[string]int
+		violations []string
+		evictions  int
+	}
+
+	// callerRequest is a caller that comes back until it knows what happened.
+	callerRequest struct {
+		id         string
+		service    string
+		idempotent bool
+		deadline   time.Duration
+		tries      int
+	}
+)
+
+func newRecord() *record {
+	return &record{
+		ran:        map[string]int{},
+		idempotent: map[string]bool{},
+		answers:    map[string]pimrequest.Answer{},
+		active:     map[pimconfig.TaskID]int{},
+		finished:   map[pimconfig.TaskID]int{},
+		resumes:    map[string]int{},
+	}
+}
+
+func (r *record) violate(format string, args ...any) {
+	r.violations = append(r.violations, fmt.Sprintf(format, args...))
+}
+
+// addEndpoints starts endpoints of a service in every failure domain.
+func (w *world) addEndpoints(service string, each, slots int, work time.Duration) {
+	for _, domain := range []string{"north", "south", "west"} {
+		for i := range each {
+			id := fmt.Sprintf("%s-%s-%d", service, domain, i+1)
+			e := &fakeEndpoint{running: map[string]bool{}, work: work, announcement: pimslot.Announcement{
+				ID: id, Service: service, Domain: domain, Address: id, Slots: slots, Boot: "1",
+			}}
+			w.endpoints[id] = e
+			w.announce(e)
+		}
+	}
+}
+
+func (w *world) announce(e *fakeEndpoint) {
+	w.after(pimslot.AnnounceInterval, func() { w.announce(e) })
+	hosts := w.living(e.announcement.Domain)
+	if e.silent || len(hosts) == 0 {
+		return
+	}
+	e.announcement.Sequence++
+	announcement := e.announcement
+	announcement.InProgress = slices.Sorted(maps.Keys(e.running))
+	name := hosts[w.random.IntN(len(hosts))]
+	w.call(name, pimcore.DomainGroup(announcement.Domain), pimmessage.Announce{Announcement: announcement}, time.Second, func(a pimcore.AnswerCall) {
+		if announced, ok := a.Reply.(pimmessage.Announced); ok {
+			e.announcement.Token = announced.Token
+		}
+	})
+}
+
+// sendEndpoint carries an attempt to a fake endpoint and its end back.
+func (w *world) sendEndpoint(h *host, a pimrequest.SendAttempt) {
+	node := h.node
+	back := func(kind pimrequest.ResultKind) {
+		w.after(w.delay(), func() {
+			if h.node == node {
+				w.handle(h, pimcore.AttemptEnded{Result: pimrequest.Result{Attempt: a.Attempt, Kind: kind, Payload: []byte(a.RequestID)}})
+			}
+		})
+	}
+	e := w.endpoints[a.Address]
+	if e.silent {
+		w.after(a.TTL, func() { back(pimrequest.ResultLost) })
+		return
+	}
+	if w.isCut(h.name, w.domainHosts(e.announcement.Domain)[0]) {
+		back(pimrequest.ResultNotSent)
+		return
+	}
+	w.after(w.delay(), func() { w.runAttempt(e, a, back) })
+}
+
+func (w *world) runAttempt(e *fakeEndpoint, a pimrequest.SendAttempt, back func(pimrequest.ResultKind)) {
+	if len(e.running) >= e.announcement.Slots {
+		w.record.violate("endpoint %s was sent more than its slots", e.announcement.ID)
+		back(pimrequest.ResultRefused)
+		return
+	}
+	e.running[a.Attempt] = true
+	w.record.ran[a.RequestID]++
+	w.record.idempotent[a.RequestID] = a.Idempotent
+	if !a.Idempotent && w.record.ran[a.RequestID] > 1 {
+		w.record.violate("request %s ran twice", a.RequestID)
+	}
+	w.after(e.work, func() {
+		delete(e.running, a.Attempt)
+		back(pimrequest.ResultWhole)
+	})
+}
+
+// addWorkers starts workers in every failure domain.
+func (w *world) addWorkers(each int, capacity pimmanifest.Resources) {
+	for _, domain := range []string{"north", "south", "west"} {
+		for i := range each {
+			f := &fakeWorker{id: fmt.Sprintf("worker-%s-%d", domain, i+1), domain: domain, tasks: map[pimconfig.TaskID]*fakeTask{}}
+			w.workers[f.id] = f
+			w.after(time.Duration(w.random.Int64N(int64(pimplace.ReportInterval))), func() { w.report(f, capacity) })
+		}
+	}
+}
+
+func (w *world) report(f *fakeWorker, capacity pimmanifest.Resources) {
+	if f.dead {
+		return
+	}
+	w.after(pimplace.ReportInterval, func() { w.report(f, capacity) })
+	w.stepTasks(f)
+	hosts := w.living(f.domain)
+	if len(hosts) == 0 {
+		return
+	}
+	f.sequence++
+	report := pimplace.Report{Worker: f.id, Domain: f.domain, Rack: "rack-" + f.id, Boot: "1", Sequence: f.sequence, Capacity: capacity}
+	used := pimmanifest.Resources{}
+	for _, id := range slices.SortedFunc(maps.Keys(f.tasks), pimconfig.CompareTasks) {
+		t := f.tasks[id]
+		report.Tasks = append(report.Tasks, pimplace.TaskReport{
+			Task: id, Epoch: t.command.Epoch, Incarnation: t.command.Incarnation, State: t.state, Checkpoint: t.saved,
+		})
+		if t.state == pimplace.TaskRunning {
+			used = used.Add(t.command.Needs)
+		}
+	}
+	if !used.Fits(capacity) {
+		w.record.violate("worker %s holds more than it has: %+v", f.id, used)
+	}
+	sent := w.now
+	name := hosts[w.random.IntN(len(hosts))]
+	w.call(name, pimcore.DomainGroup(f.domain), pimmessage.ReportWorker{Report: report}, 900*time.Millisecond, func(a pimcore.AnswerCall) {
+		reported, ok := a.Reply.(pimmessage.Reported)
+		if !ok || f.dead || w.now-sent > time.Second {
+			return
+		}
+		f.leaseEnd = sent + time.Duration(reported.Answer.LeaseMillis)*time.Millisecond
+		for _, command := range reported.Answer.Commands {
+			w.obey(f, command)
+		}
+	})
+}
+
+func (w *world) stepTasks(f *fakeWorker) {
+	for _, t := range f.tasks {
+		switch {
+		case t.state != pimplace.TaskRunning:
+		case w.now > f.leaseEnd:
+			w.endTask(t, pimplace.TaskStopped)
+		case t.command.Service:
+		case f.failAll:
+			w.endTask(t, pimplace.TaskFailed)
+		case t.command.Checkpoint+uint64((w.now-t.started).Milliseconds()) >= uint64(t.command.RunTimeMillis):
+			w.endTask(t, pimplace.TaskFinished)
+		}
+	}
+}
+
+func (w *world) endTask(t *fakeTask, state pimplace.TaskState) {
+	t.state = state
+	t.saved = t.command.Checkpoint + uint64((w.now - t.started).Milliseconds())
+	w.record.active[t.command.Task]--
+	if state == pimplace.TaskFinished {
+		w.record.finished[t.command.Task]++
+		if w.record.finished[t.command.Task] > 1 {
+			w.record.violate("task %v finished twice", t.command.Task)
+		}
+	}
+	if state == pimplace.TaskStopped && !t.command.Service {
+		w.record.evictions++
+	}
+}
+
+func (w *world) obey(f *fakeWorker, command pimplace.Command) {
+	t := f.tasks[command.Task]
+	same := t != nil && t.command.Epoch == command.Epoch && t.command.Incarnation == command.Incarnation
+	switch command.Kind {
+	case pimplace.CommandStart:
+		if !same && (t == nil || t.state != pimplace.TaskRunning) {
+			w.startTask(f, command)
+		}
+	case pimplace.CommandStop, pimplace.CommandCheckpoint:
+		if same && t.state == pimplace.TaskRunning {
+			w.endTask(t, pimplace.TaskStopped)
+		} else if t == nil {
+			f.tasks[command.Task] = &fakeTask{command: command, state: pimplace.TaskStopped, saved: command.Checkpoint}
+		}
+	case pimplace.CommandForget:
+		if same {
+			delete(f.tasks, command.Task)
+		}
+	}
+}
+
+func (w *world) startTask(f *fakeWorker, command pimplace.Command) {
+	f.tasks[command.Task] = &fakeTask{command: command, state: pimplace.TaskRunning, started: w.now, saved: command.Checkpoint}
+	w.record.active[command.Task]++
+	if w.record.active[command.Task] > 1 {
+		w.record.violate("task %v runs in two places, again on %s", command.Task, f.id)
+	}
+	key := fmt.Sprintf("%v/%d/%d", command.Task, command.Epoch, command.Incarnation)
+	w.record.resumes[key]++
+	if w.record.resumes[key] > 1 {
+		w.record.violate("incarnation %s started twice", key)
+	}
+	w.record.starts = append(w.record.starts, startSeen{task: command.Task, domain: f.domain, at: w.now})
+}
+
+// killWorker ends a worker with all its tasks.
+func (w *world) killWorker(id string) {
+	f := w.workers[id]
+	f.dead = true
+	for _, t := range f.tasks {
+		if t.state == pimplace.TaskRunning {
+			w.record.active[t.command.Task]--
+		}
+	}
+}
+
+// request sends a caller's request through a random living host.
+func (w *world) request(c *callerRequest) {
+	hosts := w.living("")
+	if len(hosts) == 0 {
+		w.comeBack(c)
+		return
+	}
+	name := hosts[w.random.IntN(len(hosts))]
+	answered := false
+	token := w.token(func(command pimcore.Command) {
+		answered = true
+		w.takeAnswer(c, command.(pimcore.AnswerCaller).Answer)
+	})
+	ttl := max(c.deadline-w.now, 100*time.Millisecond)
+	w.after(0, func() {
+		w.handle(w.hosts[name], pimcore.RequestReceived{Request: pimrequest.Request{
+			Token: token, RequestID: c.id, Service: c.service, Idempotent: c.idempotent, TTL: ttl, Payload: []byte(c.id), Digest: c.id,
+		}})
+	})
+	w.after(ttl+500*time.Millisecond, func() {
+		if !answered {
+			delete(w.tokens, token)
+			w.comeBack(c)
+		}
+	})
+}
+
+func (w *world) takeAnswer(c *callerRequest, answer pimrequest.Answer) {
+	if answer.Outcome == pimrequest.Ran && string(answer.Payload) != c.id {
+		w.record.violate("request %s got the answer %q", c.id, answer.Payload)
+	}
+	open := answer.Code == pimcode.InProgress || answer.Code == pimcode.HomeUnreachable
+	if open && c.tries < 20 {
+		w.comeBack(c)
+		return
+	}
+	w.record.answers[c.id] = answer
+}
+
+func (w *world) comeBack(c *callerRequest) {
+	c.tries++
+	w.after(100*time.Millisecond, func() { w.request(c) })
+}
+
+// callers sends requests at an interval for a span, half of them idempotent.
+func (w *world) callers(service string, interval, span time.Duration) int {
+	count := int(span / interval)
+	for i := range count {
+		domain := []string{"north", "south", "west"}[i%3]
+		w.after(time.Duration(i)*interval, func() {
+			w.request(&callerRequest{
+				id: fmt.Sprintf("%s.%d", domain, i), service: service, idempotent: i%2 == 0, deadline: w.now + 3*time.Second,
+			})
+		})
+	}
+	return count
+}
+
+const manifestText = `number: %d
+teams: [{name: dispatch}, {name: studio}]
+services:
+  - {name: callout, replicas: 6, team: dispatch, idempotent: false, needs: {cpu-millis: 1000, memory-mb: 100}}
+batch-jobs:
+  - {name: quotes, tasks: %d, team: studio, run-time: 2s, checkpoint: true, needs: {cpu-millis: 2000, memory-mb: 100}}
+`
+
+func (w *world) commit(number, tasks int) pimconfig.Result {
+	w.t.Helper()
+	content := fmt.Appendf(nil, manifestText, number, tasks)
+	reply := w.mustCall(pimcore.ConfigGroup, pimmessage.CommitManifest{Command: pimconfig.CommitManifest{Content: content}}, 20*time.Second)
+	return reply.(pimmessage.Configured).Result
+}
+
+func (w *world) mark(domain string, out bool) pimconfig.Result {
+	w.t.Helper()
+	command := pimconfig.MarkDomain{Domain: domain, Out: out}
+	reply := w.mustCall(pimcore.ConfigGroup, pimmessage.MarkDomain{Command: command}, 20*time.Second)
+	return reply.(pimmessage.Configured).Result
+}
+
+// finished counts the batch tasks that ended, as the workers saw it.
+func (w *world) finished() int { return len(w.record.finished) }
+
+// running counts the replicas of a service that run now.
+func (w *world) running(job string) int {
+	count := 0
+	for id, active := range w.record.active {
+		if id.Job == job {
+			count += active
+		}
+	}
+	return count
+}
+
+// startsIn counts starts in a failure domain after a moment.
+func (w *world) startsIn(domain string, after time.Duration) int {
+	count := 0
+	for _, start := range w.record.starts {
+		if start.domain == domain && start.at > after {
+			count++
+		}
+	}
+	return count
+}
+
+// assertPromises compares what the fakes saw with what callers were told.
+func (w *world) assertPromises() {
+	w.t.Helper()
+	for id, answer := range w.record.answers {
+		if answer.Outcome == pimrequest.NotRun && w.record.ran[id] > 0 && !w.record.idempotent[id] {
+			w.record.violate("request %s was answered not-run (%s) and ran", id, answer.Code)
+		}
+		if answer.Outcome == pimrequest.Ran && w.record.ran[id] == 0 {
+			w.record.violate("request %s was answered ran and did not run", id)
+		}
+	}
+	assert.DeepEqual(w.t, w.record.violations, []string(nil))
+}
+
+// ask sends one request through a host and waits for its answer.
+func (w *world) ask(name, id string, idempotent bool) pimrequest.Answer {
+	w.t.Helper()
+	var answer *pimrequest.Answer
+	token := w.token(func(command pimcore.Command) {
+		got := command.(pimcore.AnswerCaller).Answer
+		answer = &got
+		w.record.answers[id] = got
+	})
+	w.handle(w.hosts[name], pimcore.RequestReceived{Request: pimrequest.Request{
+		Token: token, RequestID: id, Service: "callout", Idempotent: idempotent, TTL: 3 * time.Second, Payload: []byte(id), Digest: id,
+	}})
+	w.runUntil("an answer to "+id, 4*time.Second, func() bool { return answer != nil })
+	return *answer
+}
+
+// callersOnly sends requests through one host at once and returns their ids.
+func (w *world) callersOnly(service, name string, count int) []string {
+	var ids []string
+	for i := range count {
+		id := fmt.Sprintf("%s.%s-%d", w.hosts[name].domain, name, i)
+		ids = append(ids, id)
+		token := w.token(func(command pimcore.Command) { w.record.answers[id] = command.(pimcore.AnswerCaller).Answer })
+		w.handle(w.hosts[name], pimcore.RequestReceived{Request: pimrequest.Request{
+			Token: token, RequestID: id, Service: service, Idempotent: i%2 == 0, TTL: 3 * time.Second, Payload: []byte(id), Digest: id,
+		}})
+	}
+	return ids
+}
+
+func (w *world) answered(ids []string) int {
+	count := 0
+	for _, id := range ids {
+		if w.record.answers[id].Outcome == pimrequest.Ran {
+			count++
+		}
+	}
+	return count
+}
+
+// markFrom marks a failure domain through one host.
+func (w *world) markFrom(name, domain string, out bool) pimconfig.Result {
+	w.t.Helper()
+	var result *pimconfig.Result
+	call := pimmessage.MarkDomain{Command: pimconfig.MarkDomain{Domain: domain, Out: out}}
+	w.call(name, pimcore.ConfigGroup, call, 10*time.Second, func(a pimcore.AnswerCall) {
+		if configured, ok := a.Reply.(pimmessage.Configured); ok {
+			result = &configured.Result
+		}
+	})
+	w.runUntil("the mark is accepted", 10*time.Second, func() bool { return result != nil })
+	return *result
+}
--- a/internal/node/pimcore/groups.go
+++ b/internal/node/pimcore/groups.go
@@ -36,10 +36,12 @@
 	domain, isDomain := domainOfGroup(name)
 	g := &group{name: name, domain: domain, waiting: map[uint64]waiter{}}
 	g.replica = pimconsensus.NewReplica(pimconsensus.Config{
-		ID:         n.config.Member.ID,
-		Boot:       n.config.Boot,
-		Seed:       n.config.Seed + uint64(len(name)),
-		NeverLeads: isDomain && domain != n.config.Member.Domain,
+		ID:        n.config.Member.ID,
+		Boot:      n.config.Boot,
+		Seed:      n.config.Seed + uint64(len(name)),
+		Reluctant: isDomain && domain != n.config.Member.Domain,
+
+		PersistCommit: !isDomain,
 	}, saved, n.now)
 	n.groups[name] = g
 	return n.restore(g, saved.Snapshot.Data)
--- a/internal/node/pimcore/node.go
+++ b/internal/node/pimcore/node.go
@@ -32,6 +32,7 @@
 		announcements map[string]heardAnnouncement
 		router        *pimrequest.Router
 		calls         map[uint64]*pendingCall
+		slotCalls     map[string]uint64
 		lastCall      uint64
 		lastRequest   uint64
 
@@ -67,6 +68,7 @@
 		announcements: map[string]heardAnnouncement{},
 		router:        pimrequest.NewRouter(fmt.Sprintf("%s-%x", config.Member.Name, config.Boot)),
 		calls:         map[uint64]*pendingCall{},
+		slotCalls:     map[string]uint64{},
 	}
 	n.state = pimconfig.NewState(config.ClusterID, nil)
 	for _, name := range slices.Sorted(maps.Keys(config.Saved)) {
--- a/internal/node/pimcore/requests.go
+++ b/internal/node/pimcore/requests.go
@@ -33,7 +33,7 @@
 	switch {
 	case n.draining:
 		return pimcode.Draining
-	case n.clusterID == "":
+	case len(n.state.Members) == 0:
 		return pimcode.NoLeader
 	case n.config.RefuseCutOff && !n.HasConfigLease():
 		return pimcode.DomainOut
@@ -46,9 +46,17 @@
 	}
 }
 
+// refuseRequest answers a request that this daemon does not take. A non-idempotent
+// request with an id of the caller's may have run in an earlier attempt, of which
+// only the journal knows, so its outcome is unknown; except where the id itself is
+// one that no daemon takes.
 func (n *Node) refuseRequest(request pimrequest.Request, code pimcode.Code) {
+	outcome := pimrequest.NotRun
+	if request.RequestID != "" && !request.Idempotent && code != pimcode.RequestIDHome {
+		outcome = pimrequest.Unknown
+	}
 	n.emit(AnswerCaller{Token: request.Token, Answer: pimrequest.Answer{
-		RequestID: request.RequestID, Outcome: pimrequest.NotRun, Code: code, RetryAfter: GossipInterval,
+		RequestID: request.RequestID, Outcome: outcome, Code: code, RetryAfter: GossipInterval,
 	}})
 }
 
@@ -119,9 +127,8 @@
 
 // dropSlotCall stops asking for a slot that is given back.
 func (n *Node) dropSlotCall(attempt string) {
-	for id, c := range n.calls {
-		if o, ok := c.origin.(slotOrigin); ok && o.attempt == attempt {
-			delete(n.calls, id)
-		}
+	if id, ok := n.slotCalls[attempt]; ok {
+		delete(n.calls, id)
+		delete(n.slotCalls, attempt)
 	}
 }
--- /dev/null
+++ b/internal/node/pimcore/scenario_test.go
@@ -0,0 +1,260 @@
+package pimcore_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+var workerCapacity = pimmanifest.Resources{CPUMillis: 8000, MemoryMB: 1000}
+
+// newBusyWorld has endpoints, workers, a manifest in force and batch tasks running.
+func newBusyWorld(t *testing.T, seed uint64, tasks int) *world {
+	w := newWorld(t, seed)
+	w.addEndpoints("callout", 2, 4, 20*time.Millisecond)
+	w.addWorkers(3, workerCapacity)
+	assert.Equal(t, w.commit(1, tasks).Code, pimcode.OK)
+	w.runUntil("six replicas run", 15*time.Second, func() bool { return w.running("callout") == 6 })
+	return w
+}
+
+func (w *world) outcomes() map[pimrequest.Outcome]int {
+	counts := map[pimrequest.Outcome]int{}
+	for _, answer := range w.record.answers {
+		counts[answer.Outcome]++
+	}
+	return counts
+}
+
+func TestUndisturbed(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 1, 40)
+	sent := w.callers("callout", 10*time.Millisecond, 5*time.Second)
+	w.run(8 * time.Second)
+	assert.Equal(t, w.outcomes()[pimrequest.Ran], sent)
+	w.runUntil("batch finishes", 60*time.Second, func() bool { return w.finished() == 40 })
+	w.assertPromises()
+}
+
+func TestKilledDaemons(t *testing.T) {
+	t.Parallel()
+	for _, group := range []string{pimcore.ConfigGroup, pimcore.DomainGroup("north")} {
+		t.Run("leader of "+group, func(t *testing.T) {
+			t.Parallel()
+			w := newBusyWorld(t, 2, 60)
+			sent := w.callers("callout", 10*time.Millisecond, 6*time.Second)
+			w.run(2 * time.Second)
+			victim := w.leader(group)
+			w.kill(victim)
+			w.runUntil("another leads", 5*time.Second, func() bool { return w.leader(group) != "" })
+			w.run(2 * time.Second)
+			w.start(victim)
+			w.run(10 * time.Second)
+			assert.Equal(t, len(w.record.answers), sent)
+			w.runUntil("batch finishes", 90*time.Second, func() bool { return w.finished() == 60 })
+			w.assertPromises()
+		})
+	}
+	t.Run("every daemon, one after another", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 3, 60)
+		sent := w.callers("callout", 20*time.Millisecond, 20*time.Second)
+		for _, name := range w.names {
+			w.kill(name)
+			w.run(2 * time.Second)
+			w.start(name)
+			w.run(2 * time.Second)
+		}
+		w.run(10 * time.Second)
+		assert.Equal(t, len(w.record.answers), sent)
+		w.assertPromises()
+	})
+	t.Run("all at once, and back", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 4, 60)
+		for _, name := range w.names {
+			w.kill(name)
+		}
+		w.run(time.Second)
+		for _, name := range w.names {
+			w.start(name)
+		}
+		assert.Equal(t, w.commit(1, 60).Code, pimcode.OK)
+		w.runUntil("batch finishes", 90*time.Second, func() bool { return w.finished() == 60 })
+		w.assertPromises()
+	})
+}
+
+func TestLostDisk(t *testing.T) {
+	t.Parallel()
+	t.Run("a second host is lost right after a repair", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 5, 20)
+		w.wipe("north-1")
+		w.run(500 * time.Millisecond)
+		w.start("north-1")
+		w.run(6 * time.Second)
+		w.wipe("north-2")
+		w.run(500 * time.Millisecond)
+		w.start("north-2")
+		result := w.commit(1, 20)
+		assert.Equal(t, result.Code, pimcode.OK, "the accepted manifest is still known: %s", result.Detail)
+		w.runUntil("north has a leader", 20*time.Second, func() bool { return w.leader(pimcore.DomainGroup("north")) != "" })
+		w.runUntil("batch finishes", 90*time.Second, func() bool { return w.finished() == 20 })
+		w.assertPromises()
+	})
+	t.Run("a host that stays away is replaced as a voter", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 6, 10)
+		w.wipe("north-1")
+		w.run(20 * time.Second)
+		w.wipe("south-1")
+		w.run(20 * time.Second)
+		assert.Equal(t, w.commit(2, 10).Code, pimcode.OK)
+		w.assertPromises()
+	})
+}
+
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	t.Run("a failure domain goes on serving its callers", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 7, 30)
+		w.isolate(w.domainHosts("north")...)
+		w.run(3 * time.Second)
+		answer := w.ask("north-1", "north.alone", false)
+		assert.Equal(t, answer.Outcome, pimrequest.Ran, answer.Code.String())
+		answer = w.ask("south-1", "south.rest", false)
+		assert.Equal(t, answer.Outcome, pimrequest.Ran, answer.Code.String())
+		w.heal()
+		w.runUntil("batch finishes", 90*time.Second, func() bool { return w.finished() == 30 })
+		w.assertPromises()
+	})
+	t.Run("nothing starts after a mark that can't be heard", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 8, 400)
+		w.isolate(w.domainHosts("north")...)
+		result := w.markFrom("south-1", "north", true)
+		assert.Equal(t, result.Code, pimcode.OK)
+		marked := w.now
+		w.run(30 * time.Second)
+		assert.Equal(t, w.startsIn("north", marked+pimcore.ConfigLease+time.Second), 0)
+		assert.Assert(t, w.startsIn("south", marked) > 0)
+		w.heal()
+		w.run(10 * time.Second)
+		assert.Equal(t, w.startsIn("north", marked+pimcore.ConfigLease+time.Second), 0)
+		w.assertPromises()
+	})
+	t.Run("a silent partition isolates the configuration leader", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 9, 30)
+		old := w.leader(pimcore.ConfigGroup)
+		w.isolate(old)
+		w.runUntil("another leads", 5*time.Second, func() bool {
+			leads := w.leader(pimcore.ConfigGroup)
+			return leads != "" && leads != old
+		})
+		w.run(5 * time.Second)
+		assert.Assert(t, !w.hosts[old].node.HasConfigLease())
+		next := w.leader(pimcore.ConfigGroup)
+		w.heal()
+		w.run(5 * time.Second)
+		assert.Equal(t, w.leader(pimcore.ConfigGroup), next, "the one that came back unseated nobody")
+		w.assertPromises()
+	})
+	t.Run("one direction only", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 10, 30)
+		old := w.leader(pimcore.ConfigGroup)
+		w.cut = func(_, to string) bool { return to == old }
+		w.run(5 * time.Second)
+		assert.Assert(t, !w.hosts[old].node.HasConfigLease())
+		w.heal()
+		assert.Equal(t, w.commit(2, 30).Code, pimcode.OK)
+		w.assertPromises()
+	})
+}
+
+func TestDomainOutAndIn(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 11, 200)
+	sent := w.callers("callout", 10*time.Millisecond, 30*time.Second)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.mark("west", true).Code, pimcode.OK)
+	marked := w.now
+	w.run(10 * time.Second)
+	assert.Equal(t, w.startsIn("west", marked+2*time.Second), 0)
+	assert.Assert(t, w.record.evictions > 0, "batch tasks left the failure domain")
+	assert.Equal(t, w.running("callout"), 6, "replicas moved")
+	assert.Equal(t, w.mark("west", false).Code, pimcode.OK)
+	back := w.now
+	w.run(20 * time.Second)
+	assert.Assert(t, w.startsIn("west", back) > 0)
+	assert.Equal(t, w.outcomes()[pimrequest.Ran], sent)
+	w.runUntil("batch finishes", 120*time.Second, func() bool { return w.finished() == 200 })
+	w.assertPromises()
+}
+
+func TestGracefulStop(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 12, 30)
+	for _, name := range w.names {
+		sent := w.callersOnly("callout", name, 50)
+		w.run(100 * time.Millisecond)
+		w.handle(w.hosts[name], pimcore.Drain{})
+		w.runUntil(name+" drains", 10*time.Second, func() bool { return w.hosts[name].node.IsDrained() })
+		assert.Equal(t, w.answered(sent), len(sent), "no request is cut off")
+		w.kill(name)
+		w.run(2 * time.Second)
+		w.start(name)
+		w.run(3 * time.Second)
+	}
+	w.assertPromises()
+}
+
+func TestBadNetwork(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 13, 60)
+	w.lose, w.repeat, w.slow = 0.05, 0.1, 5*time.Millisecond
+	sent := w.callers("callout", 20*time.Millisecond, 10*time.Second)
+	w.run(20 * time.Second)
+	assert.Equal(t, len(w.record.answers), sent)
+	w.lose, w.repeat, w.slow = 0, 0, 0
+	w.runUntil("batch finishes", 120*time.Second, func() bool { return w.finished() == 60 })
+	w.assertPromises()
+}
+
+func TestDeadWorker(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 14, 60)
+	w.run(2 * time.Second)
+	w.killWorker("worker-north-1")
+	w.killWorker("worker-south-2")
+	w.run(15 * time.Second)
+	assert.Equal(t, w.running("callout"), 6)
+	w.runUntil("batch finishes", 120*time.Second, func() bool { return w.finished() == 60 })
+	w.assertPromises()
+}
+
+func TestWorkerThatFailsEverything(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 15)
+	w.addWorkers(3, workerCapacity)
+	w.workers["worker-north-1"].failAll = true
+	w.commit(1, 100)
+	w.runUntil("batch finishes", 120*time.Second, func() bool { return w.finished() == 100 })
+	failed := 0
+	for _, start := range w.record.starts {
+		if start.domain == "north" && w.record.finished[start.task] == 0 {
+			failed++
+		}
+	}
+	assert.Assert(t, len(w.record.starts) < 100+6+60, "starts: %d", len(w.record.starts))
+	w.assertPromises()
+}
--- a/internal/node/pimcore/voters.go
+++ b/internal/node/pimcore/voters.go
@@ -95,6 +95,7 @@
 		if !g.replica.Ready(n.now) || n.draining {
 			continue
 		}
+		n.returnLeadership(g)
 		next, changed := n.nextMembers(g)
 		if !changed {
 			continue
@@ -105,6 +106,18 @@
 	}
 }
 
+// returnLeadership hands a domain group that this node leads from outside back to a
+// daemon of the failure domain, once one has the whole log.
+func (n *Node) returnLeadership(g *group) {
+	if g.domain == "" || g.domain == n.config.Member.Domain {
+		return
+	}
+	if to := n.successor(g); to != "" && n.hasCaughtUp(g, to) {
+		n.logEvent(g.name, "return-leadership", to)
+		g.replica.TransferTo(n.now, to)
+	}
+}
+
 // nextMembers returns a membership one step closer to the wanted one. A voter is
 // removed only after its replacement has caught up and become a voter.
 func (n *Node) nextMembers(g *group) (pimconsensus.Members, bool) {
@@ -205,3 +218,20 @@
 	}
 	return text
 }
+
+// IsSettled reports whether a group that this node leads has the members that it
+// should have, so that no replica is still catching up.
+func (n *Node) IsSettled(group string) bool {
+	g := n.groups[group]
+	if g == nil || !g.replica.Ready(n.now) {
+		return false
+	}
+	_, changes := n.nextMembers(g)
+	voters, _ := n.wantedMembers(g)
+	for _, id := range voters {
+		if !g.replica.Members().IsVoter(id) || (id != n.config.Member.ID && !n.hasCaughtUp(g, id)) {
+			return false
+		}
+	}
+	return !changes
+}
--- a/internal/place/pimplace/tick.go
+++ b/internal/place/pimplace/tick.go
@@ -79,11 +79,12 @@
 		}
 	}
 	for id, row := range view.State.Tasks {
-		if owned, ok := view.Owned[id]; ok && owned.Owner.Epoch >= row.Epoch {
+		owned, ok := view.Owned[id]
+		if (ok && owned.Owner.Epoch >= row.Epoch) || (!view.Current && view.HoldBatch) {
 			continue
 		}
 		p.stop(id, row)
-		if row.Worker == "" && !p.isReserved(id) {
+		if view.Current && row.Worker == "" && !p.isReserved(id) {
 			forgotten[id] = row.Epoch
 		}
 	}
--- a/internal/place/pimplace/types.go
+++ b/internal/place/pimplace/types.go
@@ -82,10 +82,13 @@
 		Spec  Spec
 	}
 
-	// View is what a tick sees of the replicated state. StartsAllowed is false when the
-	// failure domain is out, or the configuration may be old. HoldBatch is false when
+	// View is what a tick sees of the replicated state. Current tells that the
+	// configuration, from which Owned comes, is known to be the newest; else a task
+	// that it lacks may be one that it does not know yet. StartsAllowed is false when
+	// the failure domain is out, or the configuration may be old. HoldBatch is false when
 	// it has been old for so long that batch tasks may have been given to others.
 	View struct {
+		Current       bool
 		Owned         map[pimconfig.TaskID]Owned
 		State         *pimdomain.State
 		Applied       uint64
--- a/internal/place/pimplace/workers.go
+++ b/internal/place/pimplace/workers.go
@@ -177,6 +177,9 @@
 func (p *Placer) unconfirmedCommand(id pimconfig.TaskID, row pimdomain.Task, view View) []Command {
 	command := Command{Kind: CommandStop, Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation}
 	owned, ok := view.Owned[id]
+	if !ok && !view.Current {
+		return nil
+	}
 	withdrawn := !ok || owned.Owner.Releasing || p.stopping[id] == row.Incarnation
 	if withdrawn {
 		return []Command{command}
--- a/internal/state/pimconsensus/election.go
+++ b/internal/state/pimconsensus/election.go
@@ -33,7 +33,7 @@
 }
 
 func (r *Replica) canStand() bool {
-	return r.members.IsVoter(r.config.ID) && !r.config.NeverLeads
+	return r.members.IsVoter(r.config.ID)
 }
 
 func (r *Replica) startPreVote() {
@@ -50,7 +50,8 @@
 	r.resetElectionTimer()
 	r.role = Candidate
 	r.leader = ""
-	r.hard = HardState{Term: r.hard.Term + 1, VotedFor: r.config.ID}
+	r.hard.Term++
+	r.hard.VotedFor = r.config.ID
 	r.saveHard()
 	r.requestVotes(VoteRequest{Term: r.hard.Term, Transfer: transfer})
 }
@@ -86,7 +87,8 @@
 
 func (r *Replica) becomeFollower(term uint64, leader string) {
 	if term > r.hard.Term {
-		r.hard = HardState{Term: term}
+		r.hard.Term = term
+		r.hard.VotedFor = ""
 		r.saveHard()
 	}
 	if r.role == Leader {
--- a/internal/state/pimconsensus/replica.go
+++ b/internal/state/pimconsensus/replica.go
@@ -18,13 +18,16 @@
 		Entries  []Entry
 	}
 
-	// Config names a replica. Boot differs at each process start. NeverLeads keeps a
-	// replica from standing for election, as for a voter outside the group's failure domain.
+	// Config names a replica. Boot differs at each process start. A Reluctant replica
+	// waits longer before it stands for election, as a voter outside the group's failure
+	// domain, which leads only when nobody else can. PersistCommit makes the commit index durable before the replica says that
+	// it applied an entry, so that its state never goes back over a restart.
 	Config struct {
-		ID         string
-		Boot       uint64
-		Seed       uint64
-		NeverLeads bool
+		ID            string
+		Boot          uint64
+		Seed          uint64
+		Reluctant     bool
+		PersistCommit bool
 	}
 
 	// Progress is what a leader knows of another replica.
@@ -93,7 +96,7 @@
 		log:    entryLog{snapshot: saved.Snapshot, entries: saved.Entries},
 		now:    now,
 	}
-	r.commit = saved.Snapshot.Index
+	r.commit = max(saved.Snapshot.Index, min(saved.Hard.Commit, r.log.lastIndex()))
 	r.applied = saved.Snapshot.Index
 	r.persisted = r.log.lastIndex()
 	r.lastContact = now
@@ -247,6 +250,10 @@
 }
 
 func (r *Replica) collectCommitted() {
+	if r.config.PersistCommit && r.commit > r.hard.Commit {
+		r.hard.Commit = r.commit
+		r.saveHard()
+	}
 	for r.applied < r.commit {
 		r.applied++
 		entry := r.log.entries[r.applied-r.log.firstIndex()]
@@ -321,6 +328,9 @@
 func (r *Replica) resetElectionTimer() {
 	spread := time.Duration(r.random.Int64N(int64(ElectionTimeout)))
 	r.electionAt = r.now + ElectionTimeout + spread
+	if r.config.Reluctant {
+		r.electionAt += reluctance
+	}
 }
 
 // quorumAckedAt returns the latest time at which a majority, this leader
--- a/internal/state/pimconsensus/types.go
+++ b/internal/state/pimconsensus/types.go
@@ -36,10 +36,12 @@
 		Learners []string `msgpack:"l"`
 	}
 
-	// HardState must be durable before a vote or an acknowledgement is sent.
+	// HardState must be durable before a vote or an acknowledgement is sent. Commit is
+	// kept only with Config.PersistCommit.
 	HardState struct {
 		Term     uint64 `msgpack:"t"`
 		VotedFor string `msgpack:"v"`
+		Commit   uint64 `msgpack:"c,omitempty"`
 	}
 
 	// Snapshot replaces all entries up to Index.
@@ -160,6 +162,7 @@
 	maxBytesPerAppend   = 1 << 20
 	snapshotRetry       = 2 * time.Second
 	pipelineLimit       = 2048
+	reluctance          = 4 * ElectionTimeout
 )
 
 func (VoteRequest) isMessage()     {}
