A finish that a worker tells late counts, unless the task was started again

Ruled out: two owners, two configurations (versions 46 and 54 both name one owner). Change: the end of a lost incarnation is taken while nothing replaced it.

--- a/internal/place/pimplace/workers.go
+++ b/internal/place/pimplace/workers.go
@@ -100,7 +100,7 @@
 	for _, id := range slices.SortedFunc(maps.Keys(worker.Tasks), pimconfig.CompareTasks) {
 		report := worker.Tasks[id]
 		row := view.State.Tasks[id]
-		if !isCurrent(row, worker.ID, report) || report.State == TaskRunning {
+		if report.State == TaskRunning || !(isCurrent(row, worker.ID, report) || isLate(row, report)) {
 			continue
 		}
 		outcome := outcomeOf(report.State)
@@ -121,6 +121,13 @@
 	return row.Worker == worker && row.Epoch == report.Epoch && row.Incarnation == report.Incarnation
 }
 
+// isLate reports whether a worker tells the end of an incarnation after its lease,
+// and nothing was started in its place.
+func isLate(row pimdomain.Task, report TaskReport) bool {
+	same := row.Epoch == report.Epoch && row.Incarnation == report.Incarnation
+	return same && report.State != TaskRunning && row.AcceptsLate(outcomeOf(report.State))
+}
+
 func outcomeOf(state TaskState) pimdomain.Outcome {
 	switch state {
 	case TaskFinished:
@@ -156,6 +163,8 @@
 	command := Command{Task: id, Epoch: report.Epoch, Incarnation: report.Incarnation}
 	row := view.State.Tasks[id]
 	switch {
+	case isLate(row, report):
+		return command, false
 	case !isCurrent(row, worker.ID, report) && report.State == TaskRunning:
 		command.Kind = CommandStop
 	case !isCurrent(row, worker.ID, report):
--- a/internal/state/pimdomain/state.go
+++ b/internal/state/pimdomain/state.go
@@ -274,7 +274,10 @@
 func (s *State) end(endings []Ending) {
 	for _, e := range endings {
 		row, ok := s.Tasks[e.Task]
-		if !ok || row.Epoch != e.Epoch || row.Incarnation != e.Incarnation || row.Worker == "" {
+		if !ok || row.Epoch != e.Epoch || row.Incarnation != e.Incarnation {
+			continue
+		}
+		if row.Worker == "" && !row.AcceptsLate(e.Outcome) {
 			continue
 		}
 		row.Worker = ""
@@ -287,6 +290,13 @@
 	}
 }
 
+// AcceptsLate reports whether the end of an incarnation that counts as lost, told late
+// by its worker, still replaces that: nothing else has been started since.
+func (t Task) AcceptsLate(outcome Outcome) bool {
+	return t.Worker == "" && t.LastOutcome == OutcomeLost && !t.Released &&
+		(outcome == OutcomeFinished || outcome == OutcomeStopped)
+}
+
 func (s *State) release(tasks map[pimconfig.TaskID]uint64) {
 	for id, epoch := range tasks {
 		row := s.Tasks[id]
