--- /dev/null
+++ b/internal/route/pimslot/allocator_test.go
@@ -0,0 +1,198 @@
+package pimslot_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
+)
+
+const second = time.Second
+
+type desk struct {
+	*testing.T
+	allocator *pimslot.Allocator
+	now       time.Duration
+	sequence  uint64
+	tokens    map[string]pimslot.Token
+}
+
+func newDesk(t *testing.T, awaited ...string) *desk {
+	return &desk{T: t, allocator: pimslot.NewAllocator(3, 10*second, awaited), now: 10 * second, tokens: map[string]pimslot.Token{}}
+}
+
+func (d *desk) announce(id string, slots int, inProgress ...string) {
+	d.Helper()
+	d.sequence++
+	token, err := d.allocator.Announce(d.now, pimslot.Announcement{
+		ID: id, Service: "callout", Address: id, Slots: slots, Boot: "1", Sequence: d.sequence, InProgress: inProgress, Token: d.tokens[id],
+	})
+	assert.NilError(d, err)
+	d.tokens[id] = token
+}
+
+func (d *desk) acquire(attempt string, noWait bool) pimslot.Reply {
+	d.Helper()
+	d.allocator.Acquire(d.now, "north-1", pimslot.Acquire{Attempt: attempt, Service: "callout", TTL: 4 * second, NoWait: noWait, Weight: 1})
+	replies := d.allocator.Take()
+	if len(replies) == 0 {
+		return pimslot.Reply{Attempt: attempt, Code: -1}
+	}
+	return replies[0]
+}
+
+func (d *desk) release(attempt string, usage pimslot.Usage) []pimslot.Reply {
+	d.allocator.Release(d.now, pimslot.Release{Attempt: attempt, Usage: usage, Latency: 20 * time.Millisecond})
+	return d.allocator.Take()
+}
+
+const waits pimcode.Code = -1
+
+func TestSlots(t *testing.T) {
+	t.Run("no endpoint gets more than its slots", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 2)
+		assert.Equal(t, d.acquire("1", true).Code, pimcode.OK)
+		assert.Equal(t, d.acquire("2", true).Code, pimcode.OK)
+		assert.Equal(t, d.acquire("3", true).Code, pimcode.QueueFull)
+	})
+	t.Run("the same attempt gets the same slot again", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		first := d.acquire("1", true)
+		again := d.acquire("1", true)
+		assert.Equal(t, again.Code, pimcode.OK)
+		assert.Equal(t, first.Endpoint, again.Endpoint)
+	})
+	t.Run("a waiting request gets the slot that is freed", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		d.acquire("1", true)
+		assert.Equal(t, d.acquire("2", false).Code, waits)
+		replies := d.release("1", pimslot.UsageAnswered)
+		assert.Equal(t, len(replies), 1)
+		assert.Equal(t, replies[0].Attempt, "2")
+	})
+	t.Run("a slot whose answer never came stays taken until the endpoint says otherwise", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		d.acquire("1", true)
+		d.release("1", pimslot.UsageLost)
+		d.now += second
+		d.announce("e", 1, "1")
+		assert.Equal(t, d.acquire("2", true).Code, pimcode.QueueFull)
+		d.announce("e", 1)
+		assert.Equal(t, d.acquire("3", true).Code, pimcode.OK)
+	})
+	t.Run("an announcement made before the loss frees nothing", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		old := d.tokens["e"]
+		d.acquire("1", true)
+		d.now += second
+		d.release("1", pimslot.UsageLost)
+		d.tokens["e"] = old
+		d.now += second
+		d.announce("e", 1)
+		assert.Equal(t, d.acquire("2", true).Code, pimcode.QueueFull)
+	})
+	t.Run("a leaving endpoint gets nothing more", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		_, err := d.allocator.Announce(d.now, pimslot.Announcement{ID: "e", Service: "callout", Slots: 1, Boot: "1", Sequence: 99, Leaving: true})
+		assert.NilError(t, err)
+		assert.Equal(t, d.acquire("1", true).Code, pimcode.NoEndpoint)
+	})
+	t.Run("a silent endpoint gets nothing more", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		d.now += pimslot.ExpireAfter + second
+		assert.Equal(t, d.acquire("1", true).Code, pimcode.NoEndpoint)
+	})
+	t.Run("an endpoint that fails is left alone while others work", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("bad", 8)
+		for i := range pimslot.EjectFailures {
+			d.acquire(fmt.Sprint(i), true)
+			d.release(fmt.Sprint(i), pimslot.UsageFailed)
+		}
+		d.announce("good", 8)
+		for i := range 8 {
+			assert.Equal(t, d.acquire(fmt.Sprint("x", i), true).Endpoint, "good")
+		}
+		assert.Equal(t, d.acquire("last", true).Endpoint, "bad", "better than nothing")
+	})
+	t.Run("out of service grants nothing and sends away who waits", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		d.acquire("1", true)
+		d.acquire("2", false)
+		d.allocator.SetOutOfService(true)
+		replies := d.allocator.Take()
+		assert.Equal(t, replies[0].Code, pimcode.DomainOut)
+		assert.Equal(t, d.acquire("3", false).Code, pimcode.DomainOut)
+	})
+	t.Run("who can't be answered in time is told at once", func(t *testing.T) {
+		d := newDesk(t)
+		d.announce("e", 1)
+		d.acquire("1", true)
+		d.allocator.Release(d.now, pimslot.Release{Attempt: "1", Latency: 3 * second})
+		d.allocator.Take()
+		d.acquire("2", true)
+		reply := d.acquire("3", false)
+		assert.Equal(t, reply.Code, pimcode.WaitTooLong)
+		assert.Assert(t, reply.RetryAfter > 0)
+	})
+}
+
+func TestNewLeader(t *testing.T) {
+	t.Run("grants nothing before every daemon told what it holds", func(t *testing.T) {
+		d := newDesk(t, "north-2", "south-1")
+		d.announce("e", 2)
+		assert.Equal(t, d.acquire("new", false).Code, waits)
+		d.allocator.Recover(d.now, "north-2", []pimslot.Credit{{Attempt: "old", Endpoint: "e", Deadline: second}}, nil)
+		assert.Equal(t, len(d.allocator.Take()), 0)
+		d.allocator.Recover(d.now, "south-1", nil, nil)
+		assert.Equal(t, len(d.allocator.Take()), 1)
+		assert.Equal(t, d.acquire("more", true).Code, pimcode.QueueFull, "one slot is held by the old attempt")
+	})
+	t.Run("waits for a silent daemon until its credits are over", func(t *testing.T) {
+		d := newDesk(t, "north-2")
+		d.announce("e", 2)
+		d.now += pimslot.SendWithin
+		d.allocator.Tick(d.now)
+		assert.Assert(t, !d.allocator.Ready())
+		d.now += pimslot.ClockMargin
+		d.announce("e", 2, "of a dead daemon")
+		d.allocator.Tick(d.now)
+		assert.Assert(t, d.allocator.Ready())
+		assert.Equal(t, d.acquire("1", true).Code, pimcode.OK)
+		assert.Equal(t, d.acquire("2", true).Code, pimcode.QueueFull, "the dead daemon's attempt still runs")
+	})
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	for _, endpoints := range []int{60, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			allocator := pimslot.NewAllocator(1, second, nil)
+			for i := range endpoints {
+				if _, err := allocator.Announce(second, pimslot.Announcement{ID: fmt.Sprint(i), Service: "callout", Slots: 8, Sequence: 1}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				attempt := fmt.Sprint(n)
+				allocator.Acquire(second, "north-1", pimslot.Acquire{Attempt: attempt, Service: "callout", TTL: second, Weight: 1})
+				allocator.Release(second, pimslot.Release{Attempt: attempt, Latency: time.Millisecond})
+				allocator.Take()
+			}
+		})
+	}
+}
--- a/internal/state/pimlog/store.go
+++ b/internal/state/pimlog/store.go
@@ -212,8 +212,9 @@
 
 func (s *Store) writeFrame(file File, payload []byte) error {
 	frame := appendFrame(make([]byte, 0, frameHeaderBytes+len(payload)), payload)
-	if _, err := file.Write(frame); err != nil {
-		return pimcode.New(pimcode.DiskFailed, "write in %q: %v", s.folder, err)
+	written, err := file.Write(frame)
+	if err != nil || written < len(frame) {
+		return pimcode.New(pimcode.DiskFailed, "write in %q: %d of %d bytes: %v", s.folder, written, len(frame), err)
 	}
 	if err := file.Sync(); err != nil {
 		return pimcode.New(pimcode.DiskFailed, "sync in %q: %v", s.folder, err)
