--- /dev/null
+++ b/internal/place/pimowner/planner_test.go
@@ -0,0 +1,209 @@
+package pimowner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimowner"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
+)
+
+// office drives one planner over a state; its changes are applied at once.
+type office struct {
+	*testing.T
+	planner *pimowner.Planner
+	state   *pimconfig.State
+	now     time.Duration
+	contact map[string]time.Duration
+	index   uint64
+}
+
+const hold = time.Minute
+
+var domains = []string{"north", "south", "west"}
+
+func newOffice(t *testing.T, manifest string) *office {
+	o := &office{T: t, planner: pimowner.NewPlanner(hold), now: time.Minute, contact: map[string]time.Duration{}, index: 1}
+	var members []pimconfig.Member
+	for _, domain := range domains {
+		members = append(members, pimconfig.Member{ID: domain + "-1#a", Name: domain + "-1", Domain: domain})
+	}
+	o.state = pimconfig.NewState("cluster", members)
+	o.apply(pimconfig.CommitManifest{Number: 1, Content: []byte("number: 1\n" + manifest)})
+	return o
+}
+
+func (o *office) apply(command pimconfig.Command) {
+	o.Helper()
+	data, err := pimconfig.Encode(command)
+	assert.NilError(o, err)
+	o.index++
+	result := o.state.Apply(o.index, data)
+	assert.Equal(o, int(result.Code), 0, result.Detail)
+}
+
+// pass lets time pass: the named failure domains report and are heard.
+func (o *office) pass(span time.Duration, heard ...string) {
+	for end := o.now + span; o.now < end; {
+		o.now += 200 * time.Millisecond
+		for _, domain := range heard {
+			o.contact[domain] = o.now
+			o.planner.Report(o.now, o.reportOf(domain))
+		}
+		changes := o.planner.Plan(o.now, o.state, o.contact)
+		if len(changes) > 0 {
+			o.apply(pimconfig.ChangeOwners{Changes: changes})
+		}
+	}
+}
+
+// reportOf is a failure domain that runs what it owns and releases what it must.
+func (o *office) reportOf(domain string) pimowner.Report {
+	report := pimowner.Report{Domain: domain, Workers: 4, Running: map[string]int{}}
+	for id, owner := range o.state.Owners {
+		switch {
+		case owner.Domain != domain:
+		case owner.Releasing:
+			report.Released = append(report.Released, pimowner.Ended{Task: id, Epoch: owner.Epoch, Checkpoint: 99})
+		default:
+			report.Running[id.Job]++
+		}
+	}
+	return report
+}
+
+func (o *office) count(job string) map[string]int {
+	counts := map[string]int{}
+	for id, owner := range o.state.Owners {
+		if id.Job == job && !owner.Releasing {
+			counts[owner.Domain]++
+		}
+	}
+	return counts
+}
+
+const services = `teams: [{name: dispatch}]
+services:
+  - {name: callout, replicas: 6, team: dispatch, idempotent: false, needs: {cpu-millis: 1000, memory-mb: 1}}
+`
+
+func TestServices(t *testing.T) {
+	t.Run("replicas spread over failure domains", func(t *testing.T) {
+		o := newOffice(t, services)
+		o.pass(2*time.Second, domains...)
+		assert.DeepEqual(t, o.count("callout"), map[string]int{"north": 2, "south": 2, "west": 2})
+	})
+	t.Run("a failure domain that is out is left, and replaced first", func(t *testing.T) {
+		o := newOffice(t, services)
+		o.pass(2*time.Second, domains...)
+		o.apply(pimconfig.MarkDomain{Domain: "west", Out: true})
+		o.pass(200*time.Millisecond, domains...)
+		assert.Equal(t, o.count("callout")["west"], 2, "the old replicas stay until the new ones run")
+		o.pass(3*time.Second, domains...)
+		assert.DeepEqual(t, o.count("callout"), map[string]int{"north": 3, "south": 3})
+	})
+	t.Run("the replicas of a silent failure domain are replaced by others, not moved", func(t *testing.T) {
+		o := newOffice(t, services)
+		o.pass(2*time.Second, domains...)
+		o.pass(20*time.Second, "north", "south")
+		assert.DeepEqual(t, o.count("callout"), map[string]int{"north": 3, "south": 3, "west": 2})
+		o.pass(5*time.Second, domains...)
+		total := 0
+		for _, count := range o.count("callout") {
+			total += count
+		}
+		assert.Equal(t, total, 6, "extra replicas go when it is back")
+	})
+}
+
+const jobs = `teams: [{name: large}, {name: small, quota: {cpu-millis: 3000, memory-mb: 1000}}]
+batch-jobs:
+  - {name: many, tasks: 500, team: large, needs: {cpu-millis: 1000, memory-mb: 1}}
+  - {name: few, tasks: 20, team: small, needs: {cpu-millis: 1000, memory-mb: 1}}
+`
+
+func TestBatch(t *testing.T) {
+	t.Run("a quota holds over all failure domains", func(t *testing.T) {
+		o := newOffice(t, jobs)
+		o.pass(5*time.Second, domains...)
+		total := 0
+		for _, count := range o.count("few") {
+			total += count
+		}
+		assert.Equal(t, total, 3)
+	})
+	t.Run("work returns slowly to a failure domain that was out", func(t *testing.T) {
+		o := newOffice(t, jobs)
+		o.apply(pimconfig.MarkDomain{Domain: "west", Out: true})
+		o.pass(time.Second, domains...)
+		o.apply(pimconfig.MarkDomain{Domain: "west", Out: false})
+		o.pass(400*time.Millisecond, domains...)
+		first := o.count("many")["west"]
+		assert.Assert(t, first > 0 && first < 4, "%d tasks at once", first)
+	})
+	t.Run("a task moves with its checkpoint once it was released", func(t *testing.T) {
+		o := newOffice(t, jobs)
+		o.pass(20*time.Second, domains...)
+		o.apply(pimconfig.MarkDomain{Domain: "west", Out: true})
+		o.pass(2*time.Second, domains...)
+		assert.Equal(t, o.count("many")["west"], 0)
+		moved := 0
+		for _, owner := range o.state.Owners {
+			if owner.Checkpoint == 99 {
+				moved++
+			}
+		}
+		assert.Assert(t, moved > 0)
+	})
+	t.Run("a silent failure domain keeps its tasks until its hold is over", func(t *testing.T) {
+		o := newOffice(t, jobs)
+		o.pass(20*time.Second, domains...)
+		o.apply(pimconfig.MarkDomain{Domain: "west", Out: true})
+		before := map[pimconfig.TaskID]bool{}
+		for id, owner := range o.state.Owners {
+			before[id] = owner.Domain == "west"
+		}
+		held := func() int {
+			count := 0
+			for id, owner := range o.state.Owners {
+				if before[id] && owner.Domain == "west" {
+					count++
+				}
+			}
+			return count
+		}
+		all := held()
+		assert.Assert(t, all > 0)
+		o.pass(hold+pimowner.HoldMargin-time.Second, "north", "south")
+		assert.Equal(t, held(), all)
+		o.pass(10*time.Second, "north", "south")
+		assert.Equal(t, held(), 0)
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, tasks := range []int{100, 1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			state := pimconfig.NewState("cluster", []pimconfig.Member{{ID: "north-1#a", Domain: "north"}})
+			content := fmt.Appendf(nil, "number: 1\nteams: [{name: a}]\nbatch-jobs: [{name: many, tasks: %d, team: a, needs: {cpu-millis: 1, memory-mb: 1}}]\n", tasks)
+			data, err := pimconfig.Encode(pimconfig.CommitManifest{Number: 1, Content: content})
+			assert.NilError(b, err)
+			state.Apply(2, data)
+			planner := pimowner.NewPlanner(hold)
+			planner.Report(time.Second, pimowner.Report{Domain: "north", Workers: tasks})
+			contact := map[string]time.Duration{"north": time.Minute}
+			for index := uint64(3); len(state.Owners) < tasks; index++ {
+				data, err := pimconfig.Encode(pimconfig.ChangeOwners{Changes: planner.Plan(time.Minute, state, contact)})
+				assert.NilError(b, err)
+				state.Apply(index, data)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(time.Minute, state, contact)
+			}
+		})
+	}
+}
--- a/internal/state/pimmanifest/parse.go
+++ b/internal/state/pimmanifest/parse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
@@ -43,9 +44,9 @@
 		text := strconv.Itoa(len(content))
 		return Manifest{}, []Fault{{Line: 1, Path: "$", Text: text, Rule: fmt.Sprintf("at most %d bytes", MaxManifestBytes)}}
 	}
-	file, err := parser.ParseBytes(content, 0)
+	file, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return Manifest{}, []Fault{{Line: 1, Path: "$", Text: err.Error(), Rule: "must be YAML or JSON"}}
+		return Manifest{}, []Fault{syntaxFault(err)}
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return Manifest{}, []Fault{{Line: 1, Path: "$", Text: "", Rule: "must hold exactly one document"}}
@@ -56,6 +57,18 @@
 	return manifest, r.faults
 }
 
+// syntaxFault reads the line from the library's message, such as "[5:3] text" and a
+// picture of the place below it.
+func syntaxFault(err error) Fault {
+	first, _, _ := strings.Cut(err.Error(), "\n")
+	fault := Fault{Line: 1, Path: "$", Text: first, Rule: "must be YAML or JSON"}
+	column := 0
+	if _, scanErr := fmt.Sscanf(first, "[%d:%d]", &fault.Line, &column); scanErr == nil {
+		_, fault.Text, _ = strings.Cut(first, "] ")
+	}
+	return fault
+}
+
 func (r *reader) fault(node ast.Node, path, rule string) {
 	fault := Fault{Line: 1, Path: path, Rule: rule}
 	if token := node.GetToken(); token != nil {
