A steady placement tick costs what has changed

Cause: each tick sorted and scanned every task, and each worker's report scanned all. Change: the domain state indexes running tasks by worker; the systems that look at every task run only when the replicated state changed or tasks wait.

--- a/internal/place/pimplace/place.go
+++ b/internal/place/pimplace/place.go
@@ -78,7 +78,10 @@
 	return assignment
 }
 
+// pending returns the tasks to place, most urgent first, and counts those that wait,
+// the ones that are held back for a while included.
 func (p *Placer) pending(now time.Duration, view View) []pimconfig.TaskID {
+	p.waiting = 0
 	var pending []pimconfig.TaskID
 	for id, owned := range view.Owned {
 		row := view.State.Tasks[id]
@@ -86,6 +89,7 @@
 		if owned.Owner.Releasing || row.Worker != "" || ended || p.isReserved(id) {
 			continue
 		}
+		p.waiting++
 		if !owned.Spec.Service && (!view.HoldBatch || p.isHeldBack(now, id.Job)) {
 			continue
 		}
@@ -144,10 +148,10 @@
 		byWorker[worker.ID] = r
 		rooms = append(rooms, r)
 	}
-	for _, id := range sortedTasks(view.State.Tasks) {
-		if r := byWorker[view.State.Tasks[id].Worker]; r != nil {
+	for _, r := range rooms {
+		r.tasks = view.State.TasksOn(r.worker.ID)
+		for _, id := range r.tasks {
 			r.free = r.free.Sub(p.estimate(id.Job, view.State.Tasks[id].Needs))
-			r.tasks = append(r.tasks, id)
 		}
 	}
 	for _, id := range sortedTasks(p.reserved) {
--- a/internal/place/pimplace/relieve.go
+++ b/internal/place/pimplace/relieve.go
@@ -86,7 +86,7 @@
 
 // batchOn returns the batch tasks that run on a worker and are not stopping.
 func (p *Placer) batchOn(worker string, view View) []pimconfig.TaskID {
-	return slices.DeleteFunc(p.assignedTo(worker, view), func(id pimconfig.TaskID) bool {
+	return slices.DeleteFunc(view.State.TasksOn(worker), func(id pimconfig.TaskID) bool {
 		owned, ok := view.Owned[id]
 		return !ok || owned.Spec.Service || p.stopping[id] == view.State.Tasks[id].Incarnation
 	})
--- a/internal/place/pimplace/tick.go
+++ b/internal/place/pimplace/tick.go
@@ -9,16 +9,36 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
 )
 
-// Tick runs the systems over the tables, in this order.
+// Tick runs the systems over the tables, in this order. The systems that look at every
+// task run only when the replicated state changed or tasks wait for a worker, so that
+// a tick costs what has changed and not what there is.
 func (p *Placer) Tick(now time.Duration, view View) {
 	p.settleReservations(view)
 	p.endLost(now, view)
-	p.releaseOwnership(view)
+	changed := p.noteChange(view)
+	if changed {
+		p.releaseOwnership(view)
+	}
 	p.relievePressure(now, view)
-	p.placePending(now, view)
+	if changed || p.waiting > 0 {
+		p.placePending(now, view)
+	}
 	p.reviewQuarantine(now, view)
 }
 
+// seen names the replicated state that a tick saw.
+type seen struct {
+	version, applied                  uint64
+	current, startsAllowed, holdBatch bool
+}
+
+func (p *Placer) noteChange(view View) bool {
+	now := seen{view.Version, view.Applied, view.Current, view.StartsAllowed, view.HoldBatch}
+	changed := now != p.seen
+	p.seen = now
+	return changed
+}
+
 func (p *Placer) settleReservations(view View) {
 	maps.DeleteFunc(p.reserved, func(_ pimconfig.TaskID, r reservation) bool {
 		return r.index <= view.Applied
@@ -48,14 +68,16 @@
 // endLost ends the tasks of workers whose lease is over.
 func (p *Placer) endLost(now time.Duration, view View) {
 	var endings []pimdomain.Ending
-	for _, id := range sortedTasks(view.State.Tasks) {
-		row := view.State.Tasks[id]
-		if row.Worker == "" || p.isAlive(now, row.Worker) {
+	for _, worker := range view.State.BusyWorkers() {
+		if p.isAlive(now, worker) {
 			continue
 		}
-		endings = append(endings, pimdomain.Ending{
-			Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation, Outcome: pimdomain.OutcomeLost,
-		})
+		for _, id := range view.State.TasksOn(worker) {
+			row := view.State.Tasks[id]
+			endings = append(endings, pimdomain.Ending{
+				Task: id, Epoch: row.Epoch, Incarnation: row.Incarnation, Outcome: pimdomain.OutcomeLost,
+			})
+		}
 	}
 	if len(endings) > 0 {
 		p.proposals = append(p.proposals, pimdomain.EndTasks{Endings: endings})
--- a/internal/place/pimplace/types.go
+++ b/internal/place/pimplace/types.go
@@ -141,6 +141,8 @@
 		stopping  map[pimconfig.TaskID]uint64
 		throttled map[pimconfig.TaskID]bool
 		judged    map[pimconfig.TaskID]uint64
+		seen      seen
+		waiting   int
 		evictions float64
 		evictedAt time.Duration
 		proposals []pimdomain.Command
--- a/internal/place/pimplace/workers.go
+++ b/internal/place/pimplace/workers.go
@@ -148,7 +148,7 @@
 			commands = append(commands, command)
 		}
 	}
-	for _, id := range p.assignedTo(worker.ID, view) {
+	for _, id := range view.State.TasksOn(worker.ID) {
 		row := view.State.Tasks[id]
 		report, known := worker.Tasks[id]
 		if known && report.Epoch == row.Epoch && report.Incarnation == row.Incarnation {
@@ -204,14 +204,3 @@
 	command.StartWithinMillis = StartWithin.Milliseconds()
 	return []Command{command}
 }
-
-func (p *Placer) assignedTo(worker string, view View) []pimconfig.TaskID {
-	var tasks []pimconfig.TaskID
-	for id, row := range view.State.Tasks {
-		if row.Worker == worker {
-			tasks = append(tasks, id)
-		}
-	}
-	slices.SortFunc(tasks, pimconfig.CompareTasks)
-	return tasks
-}
--- a/internal/state/pimdomain/state.go
+++ b/internal/state/pimdomain/state.go
@@ -4,6 +4,8 @@
 package pimdomain
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -55,6 +57,9 @@
 		Tasks         map[pimconfig.TaskID]Task
 		Journal       map[string]JournalEntry
 		Quarantined   map[string]bool
+
+		// byWorker indexes the running tasks; it follows from Tasks.
+		byWorker map[string]map[pimconfig.TaskID]bool
 	}
 
 	// Command is an entry of the group's log.
@@ -204,8 +209,37 @@
 	if s.Quarantined == nil {
 		s.Quarantined = map[string]bool{}
 	}
+	s.byWorker = map[string]map[pimconfig.TaskID]bool{}
+	for id, row := range s.Tasks {
+		s.index(id, row.Worker)
+	}
+}
+
+func (s *State) index(id pimconfig.TaskID, worker string) {
+	if worker == "" {
+		return
+	}
+	if s.byWorker[worker] == nil {
+		s.byWorker[worker] = map[pimconfig.TaskID]bool{}
+	}
+	s.byWorker[worker][id] = true
 }
 
+func (s *State) unindex(id pimconfig.TaskID, worker string) {
+	delete(s.byWorker[worker], id)
+	if len(s.byWorker[worker]) == 0 {
+		delete(s.byWorker, worker)
+	}
+}
+
+// TasksOn returns the tasks that run on a worker, in the order of their ids.
+func (s *State) TasksOn(worker string) []pimconfig.TaskID {
+	return slices.SortedFunc(maps.Keys(s.byWorker[worker]), pimconfig.CompareTasks)
+}
+
+// BusyWorkers returns the workers that run tasks, sorted.
+func (s *State) BusyWorkers() []string { return slices.Sorted(maps.Keys(s.byWorker)) }
+
 // Encode returns the entry of a command.
 func Encode(command Command) ([]byte, error) { return codec.Encode(command) }
 
@@ -267,6 +301,7 @@
 		row.Incarnation++
 		row.Worker = a.Worker
 		row.Needs = a.Needs
+		s.index(a.Task, a.Worker)
 		s.Tasks[a.Task] = row
 	}
 }
@@ -280,6 +315,7 @@
 		if row.Worker == "" && !row.AcceptsLate(e.Outcome) {
 			continue
 		}
+		s.unindex(e.Task, row.Worker)
 		row.Worker = ""
 		row.LastOutcome = e.Outcome
 		row.Checkpoint = max(row.Checkpoint, e.Checkpoint)
