--- a/internal/entry/pimcommand/manifest.go
+++ b/internal/entry/pimcommand/manifest.go
@@ -64,7 +64,7 @@
 	if len(faults) > 0 {
 		return faultsError(path, faults)
 	}
-	fmt.Fprintf(c.out, "%s: manifest %d, digest %s: %d services, %d batch jobs, %d teams, no faults\n",
+	fmt.Fprintf(c.out, "%s: manifest %d, digest %s: services %d, batch jobs %d, teams %d, no faults\n",
 		path, manifest.Number, pimmanifest.Digest(content)[:12], len(manifest.Services), len(manifest.BatchJobs), len(manifest.Teams))
 	return nil
 }
--- /dev/null
+++ b/internal/member/pimpeer/transport_test.go
@@ -0,0 +1,128 @@
+package pimpeer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimpeer"
+)
+
+func start(t *testing.T, self string, receive pimpeer.Receive) *pimpeer.Transport {
+	t.Helper()
+	transport, err := pimpeer.NewTransport(self, "127.0.0.1:0", receive)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := pimroutine.Start(ctx, transport.Run)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return transport
+}
+
+func TestTransport(t *testing.T) {
+	t.Run("messages arrive in order with their sender", func(t *testing.T) {
+		got := make(chan uint64, 100)
+		receiver := start(t, "b", func(from, to string, message pimmessage.Peer) {
+			if from == "a" && to == "b" {
+				got <- message.(pimmessage.CallRequest).ID
+			}
+		})
+		sender := start(t, "a", func(string, string, pimmessage.Peer) {})
+		for i := range 100 {
+			sender.Send(receiver.Address(), "b", pimmessage.CallRequest{ID: uint64(i)})
+		}
+		for i := range 100 {
+			assert.Equal(t, <-got, uint64(i))
+		}
+	})
+	t.Run("a connection that went silent is replaced", func(t *testing.T) {
+		// The first connection is taken and never read; later ones go to a real receiver.
+		got := make(chan uint64, 1)
+		receiver := start(t, "b", func(_, _ string, message pimmessage.Peer) {
+			select {
+			case got <- message.(pimmessage.CallRequest).ID:
+			default:
+			}
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		relay := pimroutine.Start(ctx, func(ctx context.Context) error { return swallowThenRelay(ctx, listener, receiver.Address()) })
+		sender := start(t, "a", func(string, string, pimmessage.Peer) {})
+		for len(got) == 0 {
+			sender.Send(listener.Addr().String(), "b", pimmessage.CallRequest{ID: 7})
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, sender.Counters().Silent.Load() >= 1)
+		cancel()
+		listener.Close()
+		<-relay
+	})
+	t.Run("an address in use is a numbered error", func(t *testing.T) {
+		taken := start(t, "a", func(string, string, pimmessage.Peer) {})
+		_, err := pimpeer.NewTransport("b", taken.Address(), nil)
+		assert.Equal(t, pimcode.Of(err), pimcode.AddressInUse)
+	})
+}
+
+func swallowThenRelay(ctx context.Context, listener net.Listener, address string) error {
+	for first := true; ; first = false {
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil
+		}
+		stop := context.AfterFunc(ctx, func() { conn.Close() })
+		defer stop()
+		if first {
+			continue
+		}
+		onward, err := net.Dial("tcp", address)
+		if err != nil {
+			return err
+		}
+		defer onward.Close()
+		pimroutine.Start(ctx, func(context.Context) error { return copyAll(onward, conn) })
+		pimroutine.Start(ctx, func(context.Context) error { return copyAll(conn, onward) })
+	}
+}
+
+func copyAll(to, from net.Conn) error {
+	buffer := make([]byte, 4096)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			return err
+		}
+		if _, err := to.Write(buffer[:count]); err != nil {
+			return err
+		}
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	data, err := pimpeer.EncodeFrame(pimpeer.Frame{From: "a", Body: []byte("body")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		frame, err := pimpeer.ReadFrame(bytes.NewReader(data))
+		if err == nil {
+			if message, err := pimmessage.DecodePeer(frame.Body); err == nil && message == nil {
+				panic("a decoded message is nil")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/pimcore/bench_test.go
@@ -0,0 +1,59 @@
+package pimcore_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+)
+
+// BenchmarkRequest is the whole work of six cores for one request: journal, slot,
+// endpoint, answer; the fakes' own work and the time that passes are in it.
+func BenchmarkRequest(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("idempotent=%t", idempotent), func(b *testing.B) {
+			w := newWorld(b, 1)
+			w.addEndpoints("callout", 20, 8, time.Millisecond)
+			w.run(3 * time.Second)
+			messages, bytes := 0, 0
+			w.onCommand = func(_ *host, command pimcore.Command) {
+				if send, ok := command.(pimcore.SendPeer); ok {
+					if body, err := pimmessage.Encode(send.Message); err == nil {
+						messages++
+						bytes += len(body)
+					}
+				}
+			}
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				w.request(&callerRequest{id: fmt.Sprint("north.", n), service: "callout", idempotent: idempotent, deadline: w.now + time.Second})
+				w.run(100 * time.Microsecond)
+			}
+			b.ReportMetric(float64(messages)/float64(n), "messages/op")
+			b.ReportMetric(float64(bytes)/float64(n), "wire-bytes/op")
+		})
+	}
+}
+
+// BenchmarkIdleSecond is one second of six cores that have nothing to do.
+func BenchmarkIdleSecond(b *testing.B) {
+	w := newWorld(b, 1)
+	bytes := 0
+	w.onCommand = func(_ *host, command pimcore.Command) {
+		if send, ok := command.(pimcore.SendPeer); ok {
+			if body, err := pimmessage.Encode(send.Message); err == nil {
+				bytes += len(body)
+			}
+		}
+	}
+	n := 0
+	for b.Loop() {
+		n++
+		w.run(time.Second)
+	}
+	b.ReportMetric(float64(bytes)/float64(n)/6, "wire-bytes/daemon")
+}
--- a/internal/route/pimqueue/queue.go
+++ b/internal/route/pimqueue/queue.go
@@ -3,6 +3,8 @@
 package pimqueue
 
 import (
+	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -32,14 +34,20 @@
 	// The finish of a team whose line is empty is kept while it is ahead of the others.
 	class struct {
 		teams   map[string]*line
+		order   lineHeap
 		finish  map[string]float64
 		virtual float64
 	}
 
 	line struct {
-		items []Item
-		start float64
+		team     string
+		items    []Item
+		start    float64
+		position int
 	}
+
+	// lineHeap orders the lines of a class by start, then by name.
+	lineHeap []*line
 )
 
 // FloorEvery is the number of pops of which one serves the lowest waiting class.
@@ -76,9 +84,10 @@
 	}
 	l := c.teams[item.Team]
 	if l == nil {
-		l = &line{start: max(c.virtual, c.finish[item.Team])}
+		l = &line{team: item.Team, start: max(c.virtual, c.finish[item.Team])}
 		delete(c.finish, item.Team)
 		c.teams[item.Team] = l
+		heap.Push(&c.order, l)
 	}
 	l.items = append(l.items, item)
 	q.length++
@@ -107,35 +116,24 @@
 }
 
 func (c *class) pop() Item {
-	next := c.nextTeam()
-	l := c.teams[next]
+	l := c.order[0]
 	item := l.items[0]
 	l.items = l.items[1:]
 	c.virtual = max(c.virtual, l.start)
 	l.start += 1 / float64(max(item.Weight, 1))
 	if len(l.items) == 0 {
-		c.retire(next)
+		c.retire(l)
+	} else {
+		heap.Fix(&c.order, l.position)
 	}
 	return item
 }
 
-func (c *class) nextTeam() string {
-	next := ""
-	for team, l := range c.teams {
-		switch {
-		case next == "" || l.start < c.teams[next].start:
-			next = team
-		case l.start == c.teams[next].start && team < next:
-			next = team
-		}
-	}
-	return next
-}
-
 // retire drops an empty line and keeps its finish.
-func (c *class) retire(team string) {
-	c.finish[team] = c.teams[team].start
-	delete(c.teams, team)
+func (c *class) retire(l *line) {
+	c.finish[l.team] = l.start
+	delete(c.teams, l.team)
+	heap.Remove(&c.order, l.position)
 	if len(c.finish) > maxFinishes {
 		maps.DeleteFunc(c.finish, func(_ string, finish float64) bool { return finish <= c.virtual })
 	}
@@ -149,7 +147,7 @@
 		for _, team := range slices.Sorted(maps.Keys(c.teams)) {
 			dropped = append(dropped, c.teams[team].remove(drop)...)
 			if len(c.teams[team].items) == 0 {
-				c.retire(team)
+				c.retire(c.teams[team])
 			}
 		}
 	}
@@ -168,3 +166,31 @@
 	})
 	return dropped
 }
+
+// Len is part of heap.Interface.
+func (h lineHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h lineHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].start, h[j].start), cmp.Compare(h[i].team, h[j].team)) < 0
+}
+
+// Swap is part of heap.Interface.
+func (h lineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push is part of heap.Interface.
+func (h *lineHeap) Push(x any) {
+	l := x.(*line)
+	l.position = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop is part of heap.Interface.
+func (h *lineHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- a/internal/state/pimlog/store_test.go
+++ b/internal/state/pimlog/store_test.go
@@ -183,3 +183,43 @@
 		}
 	})
 }
+
+func BenchmarkAppend(b *testing.B) {
+	for _, entries := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			store, _, err := pimlog.Open(b.TempDir(), pimlog.OpenSegment)
+			assert.NilError(b, err)
+			index := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				var batch pimlog.Batch
+				for range entries {
+					index++
+					batch.Entries = append(batch.Entries, pimconsensus.Entry{Index: index, Term: 1, Data: make([]byte, 120)})
+				}
+				assert.NilError(b, store.Append(batch))
+			}
+		})
+	}
+}
+
+func BenchmarkReplay(b *testing.B) {
+	for _, entries := range []uint64{100, 1000, 4000, 16_000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			folder := b.TempDir()
+			store, _, err := pimlog.Open(folder, pimlog.OpenSegment)
+			assert.NilError(b, err)
+			var batch pimlog.Batch
+			for index := range entries {
+				batch.Entries = append(batch.Entries, pimconsensus.Entry{Index: index + 1, Term: 1, Data: make([]byte, 120)})
+			}
+			assert.NilError(b, store.Append(batch))
+			b.ReportAllocs()
+			for b.Loop() {
+				store, _, err := pimlog.Open(folder, pimlog.OpenSegment)
+				assert.NilError(b, err)
+				assert.NilError(b, store.Close())
+			}
+		})
+	}
+}
