--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test race check fmt bench docs demo crash-check
+.PHONY: build test race check fmt bench docs demo crash-check bench-process
 
 build:
 	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
@@ -39,3 +39,6 @@
 
 crash-check: build
 	sh test/crash_check.sh bin/pimentoswitch
+
+bench-process: build
+	sh test/process_bench.sh bin/pimentoswitch
--- a/internal/entry/pimcommand/main.go
+++ b/internal/entry/pimcommand/main.go
@@ -54,6 +54,7 @@
 		newManifestCommand(),
 		newDomainCommand(),
 		newStatusCommand(),
+		newMetricsCommand(),
 		newErrorsCommand(),
 		newStandinCommand(),
 		newVersionCommand(),
--- a/internal/entry/pimcommand/manifest.go
+++ b/internal/entry/pimcommand/manifest.go
@@ -102,12 +102,5 @@
 func runManifestShow(ctx context.Context, c *call) error {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Duration("timeout"))
 	defer cancel()
-	balancer := c.balancer()
-	return retry(ctx, func() error {
-		content, err := balancer.Get(ctx, "/v1/manifest")
-		if err == nil {
-			_, err = c.out.Write(content)
-		}
-		return err
-	})
+	return c.printFrom(ctx, "/v1/manifest")
 }
--- a/internal/entry/pimcommand/status.go
+++ b/internal/entry/pimcommand/status.go
@@ -22,19 +22,39 @@
 	}
 }
 
+func newMetricsCommand() command {
+	return command{
+		name:     "metrics",
+		help:     "Print a daemon's metrics in text form",
+		example:  "  pimentoswitch metrics --entry 127.0.0.1:7501",
+		settings: clientSettings,
+		run: func(ctx context.Context, c *call) error {
+			ctx, cancel := context.WithTimeout(ctx, c.settings.Duration("timeout"))
+			defer cancel()
+			return c.printFrom(ctx, "/metrics")
+		},
+	}
+}
+
+// printFrom prints what an entry daemon answers on a path.
+func (c *call) printFrom(ctx context.Context, path string) error {
+	balancer := c.balancer()
+	return retry(ctx, func() error {
+		content, err := balancer.Get(ctx, path)
+		if err == nil {
+			_, err = c.out.Write(content)
+		}
+		return err
+	})
+}
+
 func runStatus(ctx context.Context, c *call) error {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Duration("timeout"))
 	defer cancel()
-	balancer := c.balancer()
 	if c.settings.Bool("json") {
-		return retry(ctx, func() error {
-			content, err := balancer.Get(ctx, "/v1/status?tables=1")
-			if err == nil {
-				_, err = c.out.Write(content)
-			}
-			return err
-		})
+		return c.printFrom(ctx, "/v1/status?tables=1")
 	}
+	balancer := c.balancer()
 	var status pimdaemon.StatusBody
 	err := retry(ctx, func() error { return balancer.Do(ctx, "GET", "/v1/status?tables=1", nil, &status) })
 	if err != nil {
