Readiness is answered without the core

Cause: each probe of a balancer built the whole status in the core's goroutine. Change: each tick sets a flag that /readyz reads.

--- a/internal/entry/pimdaemon/daemon.go
+++ b/internal/entry/pimdaemon/daemon.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -65,6 +66,7 @@
 		decisions uint64
 		drained   chan struct{}
 		drainOnce sync.Once
+		serving   atomic.Bool
 		failure   chan error
 
 		mutex     sync.Mutex
@@ -243,6 +245,7 @@
 			return nil
 		case <-ticker.C:
 			d.node.Handle(d.now(), pimcore.Tick{})
+			d.serving.Store(d.node.IsServing())
 		case event := <-d.events:
 			d.node.Handle(d.now(), event)
 			d.handleWaiting()
--- a/internal/entry/pimdaemon/http.go
+++ b/internal/entry/pimdaemon/http.go
@@ -184,18 +184,15 @@
 	}
 }
 
+// getReady answers from a flag that each tick sets, since balancers ask often.
 func (s *httpServer) getReady(ctx *fasthttp.RequestCtx, _ string) {
-	if s.stopping.Load() {
-		writeCode(ctx, pimcode.Draining, "")
-		return
-	}
-	status, ok := s.status(ctx)
 	switch {
-	case !ok:
-	case !status.Ready:
+	case s.stopping.Load():
+		writeCode(ctx, pimcode.Draining, "")
+	case !s.daemon.serving.Load():
 		writeCode(ctx, pimcode.NoLeader, "no group with a leader is known yet")
 	default:
-		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"daemon": status.Daemon})
+		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"daemon": s.daemon.settings.Name})
 	}
 }
 
--- a/internal/node/pimcore/status.go
+++ b/internal/node/pimcore/status.go
@@ -79,7 +79,7 @@
 		Version:     n.state.Version,
 		ConfigLease: n.HasConfigLease(),
 		Draining:    n.draining,
-		Ready:       n.isServing(),
+		Ready:       n.IsServing(),
 		Requests:    n.router.Len(),
 		Content:     n.state.Content,
 		Manifest: ManifestStatus{
@@ -110,9 +110,9 @@
 	return s
 }
 
-// isServing reports whether requests can be answered here: the node knows its
+// IsServing reports whether requests can be answered here: the node knows its
 // cluster, a leader, and does not drain.
-func (n *Node) isServing() bool {
+func (n *Node) IsServing() bool {
 	return n.clusterID != "" && !n.draining && len(n.servingDomains()) > 0 &&
 		n.leaderOf(DomainGroup(n.servingDomains()[0])).ID != ""
 }
