--- a/internal/node/pimcore/fakes_test.go
+++ b/internal/node/pimcore/fakes_test.go
@@ -71,6 +71,7 @@
 		service    string
 		idempotent bool
 		deadline   time.Duration
+		digest     string
 		tries      int
 	}
 )
@@ -318,7 +319,7 @@
 	ttl := max(c.deadline-w.now, 100*time.Millisecond)
 	w.after(0, func() {
 		w.handle(w.hosts[name], pimcore.RequestReceived{Request: pimrequest.Request{
-			Token: token, RequestID: c.id, Service: c.service, Idempotent: c.idempotent, TTL: ttl, Payload: []byte(c.id), Digest: c.id,
+			Token: token, RequestID: c.id, Service: c.service, Idempotent: c.idempotent, TTL: ttl, Payload: []byte(c.id), Digest: c.id + c.digest,
 		}})
 	})
 	w.after(ttl+500*time.Millisecond, func() {
--- a/internal/node/pimcore/scenario_test.go
+++ b/internal/node/pimcore/scenario_test.go
@@ -143,7 +143,9 @@
 		result := w.markFrom("south-1", "north", true)
 		assert.Equal(t, result.Code, pimcode.OK)
 		marked := w.now
-		w.run(30 * time.Second)
+		w.run(5 * time.Second)
+		w.killWorker("worker-north-1")
+		w.run(25 * time.Second)
 		assert.Equal(t, w.startsIn("north", marked+pimcore.ConfigLease+time.Second), 0)
 		assert.Assert(t, w.startsIn("south", marked) > 0)
 		w.heal()
@@ -258,3 +260,41 @@
 	assert.Assert(t, len(w.record.starts) < 100+6+60, "starts: %d", len(w.record.starts))
 	w.assertPromises()
 }
+
+func TestTwins(t *testing.T) {
+	t.Parallel()
+	t.Run("two daemons get the same id at the same time", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 16, 10)
+		w.twins(300)
+		w.run(40 * time.Second)
+		assert.Equal(t, len(w.record.answers), 300)
+		assert.Equal(t, w.outcomes()[pimrequest.Ran], 300)
+		w.assertPromises()
+	})
+	t.Run("a caller comes back after the daemon that sent was killed", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 17, 10)
+		for _, e := range w.endpoints {
+			e.work = 500 * time.Millisecond
+		}
+		ids := w.callersOnly("callout", "north-1", 4)
+		w.run(200 * time.Millisecond)
+		w.kill("north-1")
+		for _, id := range []string{ids[1], ids[3]} {
+			answer := w.ask("south-1", id, false)
+			assert.Assert(t, answer.Outcome != pimrequest.NotRun || w.record.ran[id] == 0)
+		}
+		w.run(10 * time.Second)
+		w.start("north-1")
+		w.assertPromises()
+	})
+	t.Run("an id with other content is refused", func(t *testing.T) {
+		t.Parallel()
+		w := newBusyWorld(t, 18, 10)
+		assert.Equal(t, w.ask("north-1", "north.a", false).Outcome, pimrequest.Ran)
+		w.request(&callerRequest{id: "north.a", service: "callout", deadline: w.now + time.Second, digest: "other"})
+		w.run(2 * time.Second)
+		assert.Equal(t, w.record.answers["north.a"].Code, pimcode.RequestIDReused)
+	})
+}
