--- a/internal/node/pimcore/fakes_test.go
+++ b/internal/node/pimcore/fakes_test.go
@@ -303,6 +303,20 @@
 	}
 }
 
+// workerWith returns a worker of a failure domain that runs a task of the job.
+func (w *world) workerWith(job, domain string) string {
+	w.t.Helper()
+	for _, name := range slices.Sorted(maps.Keys(w.workers)) {
+		for id, task := range w.workers[name].tasks {
+			if w.workers[name].domain == domain && id.Job == job && task.state == pimplace.TaskRunning {
+				return name
+			}
+		}
+	}
+	w.t.Fatalf("no worker in %s runs %s", domain, job)
+	return ""
+}
+
 // request sends a caller's request through a random living host.
 func (w *world) request(c *callerRequest) {
 	hosts := w.living("")
--- a/internal/node/pimcore/scenario_test.go
+++ b/internal/node/pimcore/scenario_test.go
@@ -144,7 +144,7 @@
 		assert.Equal(t, result.Code, pimcode.OK)
 		marked := w.now
 		w.run(5 * time.Second)
-		w.killWorker("worker-north-1")
+		w.killWorker(w.workerWith("callout", "north"))
 		w.run(25 * time.Second)
 		assert.Equal(t, w.startsIn("north", marked+pimcore.ConfigLease+time.Second), 0)
 		assert.Assert(t, w.startsIn("south", marked) > 0)
