Fault matrix: 17 faults at 19 steps

Change: a test generated from two tables (steps of request, commit, mark, owners, start, eviction, move, lease, slots, replacement, stop; and faults).

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 # fmt      rewrite the sources in the standard format
 # bench    Go benchmarks
 # docs     rewrite the generated pages
+# matrix   every fault at every step, and docs/FAULTS.md
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test race check fmt bench docs demo crash-check bench-process
+.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix
 
 build:
 	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
@@ -42,3 +43,6 @@
 
 bench-process: build
 	sh test/process_bench.sh bin/pimentoswitch
+
+matrix:
+	$(GO) test ./internal/node/pimcore -run TestFaultMatrix -write-faults $(CURDIR)/docs/FAULTS.md
--- a/internal/node/pimcore/fakes_test.go
+++ b/internal/node/pimcore/fakes_test.go
@@ -63,6 +63,7 @@
 		resumes    map[string]int
 		violations []string
 		evictions  int
+		asked      int
 	}
 
 	// callerRequest is a caller that comes back until it knows what happened.
--- /dev/null
+++ b/internal/node/pimcore/matrix_test.go
@@ -0,0 +1,361 @@
+package pimcore_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
+	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+)
+
+type (
+	// step is one row of the matrix: the command of a core at which the fault comes.
+	step struct {
+		name    string
+		matches func(command pimcore.Command) bool
+		// whileReplacing steps come only while a lost disk is being replaced.
+		whileReplacing bool
+	}
+
+	// fault is one column of the matrix. It starts at the host that is at the step, and
+	// plans its own end. Before runs when the world starts.
+	fault struct {
+		name   string
+		before func(w *world)
+		start  func(w *world, h *host)
+		// losesDisk faults wait until no other host is being replaced.
+		losesDisk bool
+	}
+)
+
+var writeFaults = flag.String("write-faults", "", "file to write the matrix to")
+
+// wrote matches a batch that holds an entry of the given kind.
+func wrote(kind string) func(pimcore.Command) bool {
+	return func(command pimcore.Command) bool {
+		persist, ok := command.(pimcore.Persist)
+		if !ok {
+			return false
+		}
+		for _, entry := range persist.Batch.Entries {
+			if bytes.HasPrefix(entry.Data[min(1, len(entry.Data)):], []byte(kind)) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// told matches an answer to a worker that holds a command of the given kind.
+func told(kind pimplace.CommandKind) func(pimcore.Command) bool {
+	return func(command pimcore.Command) bool {
+		answer, _ := command.(pimcore.AnswerCall)
+		reported, ok := answer.Reply.(pimmessage.Reported)
+		if !ok {
+			return false
+		}
+		for _, c := range reported.Answer.Commands {
+			if c.Kind == kind {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func sent(match func(pimmessage.Peer) bool) func(pimcore.Command) bool {
+	return func(command pimcore.Command) bool {
+		peer, ok := command.(pimcore.SendPeer)
+		return ok && match(peer.Message)
+	}
+}
+
+func answered[R pimmessage.Reply](command pimcore.Command) bool {
+	answer, ok := command.(pimcore.AnswerCall)
+	if !ok {
+		return false
+	}
+	_, ok = answer.Reply.(R)
+	return ok
+}
+
+func is[C pimcore.Command](command pimcore.Command) bool {
+	_, ok := command.(C)
+	return ok
+}
+
+var steps = []step{
+	{name: "request: journal entry written, not synced", matches: wrote("begin-request")},
+	{name: "request: chosen and sent, no answer yet", matches: func(c pimcore.Command) bool {
+		send, ok := c.(pimcore.SendEndpoint)
+		return ok && !send.Attempt.Idempotent
+	}},
+	{name: "request: caller answered, end not journaled", matches: is[pimcore.AnswerCaller]},
+	{name: "request: end written, not synced", matches: wrote("end-request")},
+	{name: "commit: entry written, not synced", matches: wrote("commit-manifest")},
+	{name: "commit: committed, answer under way", matches: answered[pimmessage.Configured]},
+	{name: "mark: entry written, not synced", matches: wrote("mark-domain")},
+	{name: "owners: entry written, not synced", matches: wrote("change-owners")},
+	{name: "task start: assignment written, not synced", matches: wrote("assign-tasks")},
+	{name: "task start: worker told", matches: told(pimplace.CommandStart)},
+	{name: "eviction: worker told", matches: told(pimplace.CommandCheckpoint)},
+	{name: "eviction: end written, not synced", matches: wrote("end-tasks")},
+	{name: "move: release written, not synced", matches: wrote("release-tasks")},
+	{name: "lease renewal: report answered", matches: answered[pimmessage.Reported]},
+	{name: "slots: new leader asks who holds what", matches: sent(func(m pimmessage.Peer) bool {
+		_, ok := m.(pimmessage.LedgerQuery)
+		return ok
+	})},
+	{name: "endpoint: announcement answered", matches: answered[pimmessage.Announced]},
+	{name: "replacement: member written, not synced", matches: wrote("add-member"), whileReplacing: true},
+	{name: "replacement: snapshot under way", matches: sent(func(m pimmessage.Peer) bool {
+		consensus, ok := m.(pimmessage.Consensus)
+		if !ok {
+			return false
+		}
+		body, err := pimmessage.DecodeConsensus(consensus.Body)
+		_, snapshot := body.(pimconsensus.SnapshotRequest)
+		return err == nil && snapshot
+	}), whileReplacing: true},
+	{name: "graceful stop: leadership handed over", matches: sent(func(m pimmessage.Peer) bool {
+		consensus, ok := m.(pimmessage.Consensus)
+		if !ok {
+			return false
+		}
+		body, err := pimmessage.DecodeConsensus(consensus.Body)
+		_, now := body.(pimconsensus.TimeoutNow)
+		return err == nil && now
+	})},
+}
+
+var faults = []fault{
+	{name: "process killed", start: func(w *world, h *host) {
+		w.kill(h.name)
+		w.after(2*time.Second, func() { w.restart(h.name) })
+	}},
+	{name: "host and disk lost", losesDisk: true, start: func(w *world, h *host) {
+		w.wipe(h.name)
+		w.after(2*time.Second, func() { w.restart(h.name) })
+	}},
+	{name: "messages lost", start: func(w *world, _ *host) {
+		w.lose = 0.5
+		w.after(time.Second, func() { w.lose = 0 })
+	}},
+	{name: "messages delayed and reordered", start: func(w *world, _ *host) {
+		w.slow = 150 * time.Millisecond
+		w.after(3*time.Second, func() { w.slow = 0 })
+	}},
+	{name: "messages repeated", start: func(w *world, _ *host) {
+		w.repeat = 1
+		w.after(3*time.Second, func() { w.repeat = 0 })
+	}},
+	{name: "host can't be reached", start: func(w *world, h *host) {
+		w.cut = func(_, to string) bool { return to == h.name }
+		w.after(4*time.Second, w.heal)
+	}},
+	{name: "host can't send", start: func(w *world, h *host) {
+		w.cut = func(from, _ string) bool { return from == h.name }
+		w.after(4*time.Second, w.heal)
+	}},
+	{name: "host isolated", start: func(w *world, h *host) {
+		w.isolate(h.name)
+		w.after(8*time.Second, w.heal)
+	}},
+	{name: "failure domain cut off", start: func(w *world, h *host) {
+		w.isolate(w.domainHosts(h.domain)...)
+		w.after(8*time.Second, w.heal)
+	}},
+	{name: "process frozen", start: func(w *world, h *host) {
+		h.frozen = true
+		w.after(3*time.Second, func() { h.frozen = false })
+	}},
+	{name: "disk stops, then process killed", start: func(w *world, h *host) {
+		h.diskFails = true
+		w.after(3*time.Second, func() {
+			w.kill(h.name)
+			w.restart(h.name)
+		})
+	}},
+	{name: "disk slow", start: func(w *world, h *host) {
+		h.syncTime = 300 * time.Millisecond
+		w.after(5*time.Second, func() { h.syncTime = 0 })
+	}},
+	{name: "clock fast here, slow elsewhere", before: func(w *world) {
+		for i, name := range w.names {
+			w.hosts[name].clockRate = 0.96 + 0.015*float64(i)
+		}
+	}, start: func(w *world, h *host) {
+		w.kill(h.name)
+		w.restart(h.name)
+	}},
+	{name: "endpoints silent", start: func(w *world, _ *host) {
+		for _, e := range w.endpoints {
+			e.silent = e.announcement.Domain == "north"
+		}
+		w.after(4*time.Second, func() {
+			for _, e := range w.endpoints {
+				e.silent = false
+			}
+		})
+	}},
+	{name: "a worker lost", start: func(w *world, h *host) { w.killWorker("worker-" + h.domain + "-1") }},
+	{name: "killed, and another after the restart", start: func(w *world, h *host) {
+		other := w.domainHosts(h.domain)[0]
+		if other == h.name {
+			other = w.domainHosts(h.domain)[1]
+		}
+		w.kill(h.name)
+		w.after(1500*time.Millisecond, func() { w.restart(h.name) })
+		w.after(2500*time.Millisecond, func() { w.kill(other) })
+		w.after(4500*time.Millisecond, func() { w.restart(other) })
+	}},
+	{name: "killed while messages are lost", start: func(w *world, h *host) {
+		w.kill(h.name)
+		w.lose, w.repeat = 0.2, 0.2
+		w.after(2*time.Second, func() { w.restart(h.name) })
+		w.after(4*time.Second, func() { w.lose, w.repeat = 0, 0 })
+	}},
+}
+
+// TestFaultMatrix runs a day in short with one fault at one step, for each pair. The
+// day has requests, a mark out and in, a second manifest, a host that loses its disk,
+// and a graceful stop. Every promise is checked against what the fakes saw.
+func TestFaultMatrix(t *testing.T) {
+	t.Parallel()
+	results := &matrixResults{cells: map[string]string{}}
+	t.Cleanup(func() { results.write(t) })
+	for i, row := range steps {
+		for j, column := range faults {
+			t.Run(row.name+"/"+column.name, func(t *testing.T) {
+				t.Parallel()
+				results.set(row, column, "failed")
+				hit := runCell(t, uint64(1000+100*i+j), row, column)
+				if !hit && column.losesDisk && row.whileReplacing {
+					results.set(row, column, "a second disk before the first is replaced: beyond three voters")
+					return
+				}
+				assert.Assert(t, hit, "the step never came")
+				results.set(row, column, "held")
+			})
+		}
+	}
+}
+
+func runCell(t *testing.T, seed uint64, row step, column fault) bool {
+	w := newWorldWith(t, seed, column.before)
+	w.addEndpoints("callout", 2, 4, 20*time.Millisecond)
+	w.addWorkers(3, workerCapacity)
+	hit := false
+	w.onCommand = func(h *host, command pimcore.Command) {
+		if hit || !row.matches(command) || (column.losesDisk && w.replacing) {
+			return
+		}
+		hit = true
+		column.start(w, h)
+	}
+	w.day()
+	if !hit {
+		return false
+	}
+	w.onCommand = nil
+	w.recover()
+	w.slow = 0
+	w.run(5 * time.Second)
+	assert.Equal(t, w.commit(2, 60).Code, pimcode.OK, "the accepted manifest is still known")
+	w.runUntil("six replicas run", 60*time.Second, func() bool { return w.running("callout") == 6 })
+	w.runUntil("batch finishes", 180*time.Second, func() bool { return w.finished() == 60 })
+	w.runUntil("every caller has an answer", 30*time.Second, func() bool { return len(w.record.answers) == w.record.asked })
+	assert.Equal(t, w.ask(w.names[0], "north.last", false).Outcome, pimrequest.Ran)
+	w.assertPromises()
+	return true
+}
+
+// day is what happens in each cell. Operators come back until they have an answer.
+func (w *world) day() {
+	assert.Equal(w.t, w.commit(1, 60).Code, pimcode.OK)
+	w.record.asked = w.callers("callout", 20*time.Millisecond, 16*time.Second)
+	w.run(2 * time.Second)
+	assert.Equal(w.t, w.mark("west", true).Code, pimcode.OK)
+	marked := w.now
+	w.run(4 * time.Second)
+	late := w.startsIn("west", marked+pimcore.ConfigLease+pimplace.StartWithin)
+	assert.Equal(w.t, late, 0, "starts after the mark")
+	assert.Equal(w.t, w.mark("west", false).Code, pimcode.OK)
+	assert.Equal(w.t, w.commit(2, 60).Code, pimcode.OK)
+	w.run(time.Second)
+	if w.isWhole() {
+		w.wipe("south-2")
+		w.after(500*time.Millisecond, func() { w.restart("south-2") })
+	}
+	for range 10 {
+		w.run(time.Second)
+		if !w.replacing {
+			break
+		}
+	}
+	w.stopGracefully(w.leader(pimcore.DomainGroup("north")))
+	w.run(6 * time.Second)
+}
+
+// stopGracefully drains a host and starts it again.
+func (w *world) stopGracefully(name string) {
+	if name == "" {
+		return
+	}
+	h := w.hosts[name]
+	w.handle(h, pimcore.Drain{})
+	for range 100 {
+		if h.node == nil || h.node.IsDrained() {
+			break
+		}
+		w.run(50 * time.Millisecond)
+	}
+	w.kill(name)
+	w.after(time.Second, func() { w.restart(name) })
+}
+
+type matrixResults struct {
+	mutex sync.Mutex
+	cells map[string]string
+}
+
+func (r *matrixResults) set(row step, column fault, result string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cells[row.name+"/"+column.name] = result
+}
+
+// write writes the matrix as a page, a row for each step.
+func (r *matrixResults) write(t *testing.T) {
+	if *writeFaults == "" {
+		return
+	}
+	var page strings.Builder
+	page.WriteString("# Fault matrix\n\nWritten by `make matrix` from the tables in `internal/node/pimcore/matrix_test.go`. Each cell is a short day with\n")
+	page.WriteString("requests, a mark out and in, a second manifest, a lost disk and a graceful stop; the fault comes at the host that\nreaches the step. `held` means that every check against what the fakes saw passed.\n\n")
+	page.WriteString("| step |")
+	for _, column := range faults {
+		fmt.Fprintf(&page, " %s |", column.name)
+	}
+	page.WriteString("\n|" + strings.Repeat(" --- |", len(faults)+1) + "\n")
+	for _, row := range steps {
+		fmt.Fprintf(&page, "| %s |", row.name)
+		for _, column := range faults {
+			fmt.Fprintf(&page, " %s |", r.cells[row.name+"/"+column.name])
+		}
+		page.WriteString("\n")
+	}
+	assert.NilError(t, os.WriteFile(*writeFaults, []byte(page.String()), 0o644))
+}
--- a/internal/node/pimcore/world_test.go
+++ b/internal/node/pimcore/world_test.go
@@ -30,6 +30,7 @@
 		hosts     map[string]*host
 		founders  []pimcore.Founder
 		cut       func(from, to string) bool
+		replacing bool
 		lose      float64
 		repeat    float64
 		slow      time.Duration
@@ -52,6 +53,8 @@
 		disk      map[string]*pimconsensus.Saved
 		diskFails bool
 		frozen    bool
+		syncTime  time.Duration
+		syncedAt  time.Duration
 		clockRate float64
 	}
 
@@ -90,7 +93,10 @@
 }
 
 // newWorld starts two daemons in each of three failure domains and waits for leaders.
-func newWorld(t testing.TB, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world { return newWorldWith(t, seed, nil) }
+
+// newWorldWith is newWorld with something done before the daemons start.
+func newWorldWith(t testing.TB, seed uint64, before func(w *world)) *world {
 	w := &world{
 		t:         t,
 		random:    rand.New(rand.NewPCG(seed, seed)),
@@ -108,6 +114,9 @@
 			w.hosts[name] = &host{name: name, domain: domain, disk: map[string]*pimconsensus.Saved{}, clockRate: 1}
 		}
 	}
+	if before != nil {
+		before(w)
+	}
 	for _, name := range w.names {
 		w.start(name)
 	}
@@ -282,7 +291,8 @@
 
 func (w *world) persist(h *host, c pimcore.Persist) {
 	node := h.node
-	w.after(syncDelay, func() {
+	h.syncedAt = max(w.now+syncDelay+h.syncTime, h.syncedAt)
+	w.after(h.syncedAt-w.now, func() {
 		if h.node != node || h.diskFails {
 			return
 		}
@@ -331,6 +341,19 @@
 	h.nonce++
 	h.clusterID = ""
 	h.disk = map[string]*pimconsensus.Saved{}
+	w.replacing = true
+	w.watchReplacement()
+}
+
+// watchReplacement notes when every group has its wanted voters again.
+func (w *world) watchReplacement() {
+	w.after(200*time.Millisecond, func() {
+		if w.isWhole() {
+			w.replacing = false
+			return
+		}
+		w.watchReplacement()
+	})
 }
 
 // isolate cuts the given hosts off from all others, in both directions.
