A daemon that comes back does not act on an old configuration

Change: it is not ready and takes no request until its configuration was current once, or, cut off, after ten seconds. Checks added: a daemon with a configuration lease never has less than what was reported in force; a restart while cut off does not go back; a mark is in force within 6 s in each cell of the matrix; saturated endpoints over a change of leader.

--- a/internal/node/pimcore/fakes_test.go
+++ b/internal/node/pimcore/fakes_test.go
@@ -64,6 +64,7 @@
 		violations []string
 		evictions  int
 		asked      int
+		forced     uint64
 	}
 
 	// callerRequest is a caller that comes back until it knows what happened.
@@ -398,6 +399,20 @@
 	return reply.(pimmessage.Configured).Result
 }
 
+// waitForce waits until a version is in force everywhere.
+func (w *world) waitForce(version uint64) {
+	w.t.Helper()
+	for range 100 {
+		force := w.mustCall(pimcore.ConfigGroup, pimmessage.QueryForce{Version: version}, 20*time.Second).(pimmessage.Force)
+		if force.InForce {
+			w.record.forced = max(w.record.forced, version)
+			return
+		}
+		w.run(100 * time.Millisecond)
+	}
+	w.t.Fatalf("version %d is not in force after ten seconds", version)
+}
+
 // finished counts the batch tasks that ended, as the workers saw it.
 func (w *world) finished() int { return len(w.record.finished) }
 
--- a/internal/node/pimcore/matrix_test.go
+++ b/internal/node/pimcore/matrix_test.go
@@ -40,6 +40,9 @@
 	}
 )
 
+// forceLimit is the time in which a change of configuration is in force everywhere.
+const forceLimit = 6 * time.Second
+
 var writeFaults = flag.String("write-faults", "", "file to write the matrix to")
 
 // wrote matches a batch that holds an entry of the given kind.
@@ -287,8 +290,11 @@
 	assert.Equal(w.t, w.commit(1, 60).Code, pimcode.OK)
 	w.record.asked = w.callers("callout", 20*time.Millisecond, 16*time.Second)
 	w.run(2 * time.Second)
-	assert.Equal(w.t, w.mark("west", true).Code, pimcode.OK)
+	result := w.mark("west", true)
+	assert.Equal(w.t, result.Code, pimcode.OK)
 	marked := w.now
+	w.waitForce(result.Version)
+	assert.Assert(w.t, w.now-marked <= forceLimit, "in force after %s", w.now-marked)
 	w.run(4 * time.Second)
 	late := w.startsIn("west", marked+pimcore.ConfigLease+pimplace.StartWithin)
 	assert.Equal(w.t, late, 0, "starts after the mark")
--- a/internal/node/pimcore/node.go
+++ b/internal/node/pimcore/node.go
@@ -209,6 +209,24 @@
 // HasConfigLease reports whether the configuration is known to be current.
 func (n *Node) HasConfigLease() bool { return n.configAge() <= ConfigLease }
 
+// Version returns the version of the applied configuration.
+func (n *Node) Version() uint64 { return n.state.Version }
+
+// knowsConfig reports whether the configuration was current at any time since the
+// start. A daemon that comes back does not act on an old one until then, but for a
+// cut-off one, which goes on after a while with what it has.
+func (n *Node) knowsConfig() bool {
+	if n.now-n.startedAt >= bootGrace {
+		return true
+	}
+	g := n.groups[ConfigGroup]
+	if g == nil {
+		return false
+	}
+	_, ok := g.replica.CurrentAsOf(n.now)
+	return ok
+}
+
 // holdsBatch reports whether batch tasks of a cut-off failure domain may go on.
 func (n *Node) holdsBatch() bool {
 	if n.now-n.startedAt < bootGrace {
--- a/internal/node/pimcore/requests.go
+++ b/internal/node/pimcore/requests.go
@@ -33,7 +33,7 @@
 	switch {
 	case n.draining:
 		return pimcode.Draining
-	case len(n.state.Members) == 0:
+	case len(n.state.Members) == 0 || !n.knowsConfig():
 		return pimcode.NoLeader
 	case n.config.RefuseCutOff && !n.HasConfigLease():
 		return pimcode.DomainOut
--- a/internal/node/pimcore/scenario_test.go
+++ b/internal/node/pimcore/scenario_test.go
@@ -298,3 +298,52 @@
 		assert.Equal(t, w.record.answers["north.a"].Code, pimcode.RequestIDReused)
 	})
 }
+
+func TestSaturated(t *testing.T) {
+	t.Parallel()
+	for name, stop := range map[string]func(w *world, victim string){
+		"killed":  func(w *world, victim string) { w.kill(victim) },
+		"drained": func(w *world, victim string) { w.stopGracefully(victim) },
+		"frozen":  func(w *world, victim string) { w.hosts[victim].frozen = true },
+	} {
+		t.Run("no slot is given twice when the leader is "+name, func(t *testing.T) {
+			t.Parallel()
+			w := newBusyWorld(t, 19, 10)
+			for _, e := range w.endpoints {
+				e.work = 1500 * time.Millisecond
+			}
+			w.callers("callout", 10*time.Millisecond, 12*time.Second)
+			for _, domain := range []string{"north", "south"} {
+				w.run(2 * time.Second)
+				victim := w.leader(pimcore.DomainGroup(domain))
+				stop(w, victim)
+				w.run(2 * time.Second)
+				w.restart(victim)
+			}
+			w.run(10 * time.Second)
+			assert.Assert(t, w.outcomes()[pimrequest.Ran] > 100)
+			w.assertPromises()
+		})
+	}
+}
+
+func TestRestartWhileCutOff(t *testing.T) {
+	t.Parallel()
+	w := newBusyWorld(t, 20, 10)
+	result := w.commit(2, 10)
+	w.waitForce(result.Version)
+	w.isolate(w.domainHosts("north")...)
+	w.run(4 * time.Second)
+	for _, name := range w.domainHosts("north") {
+		w.kill(name)
+		w.start(name)
+	}
+	w.run(15 * time.Second)
+	for _, name := range w.domainHosts("north") {
+		assert.Assert(t, w.hosts[name].node.Version() >= result.Version, "the configuration went back")
+		assert.Equal(t, w.hosts[name].node.Status().Manifest.Number, uint64(2))
+	}
+	answer := w.ask("north-1", "north.alone", false)
+	assert.Equal(t, answer.Outcome, pimrequest.Ran, answer.Code.String())
+	w.assertPromises()
+}
--- a/internal/node/pimcore/status.go
+++ b/internal/node/pimcore/status.go
@@ -113,7 +113,7 @@
 // IsServing reports whether requests can be answered here: the node knows its
 // cluster, a leader, and does not drain.
 func (n *Node) IsServing() bool {
-	return n.clusterID != "" && !n.draining && len(n.servingDomains()) > 0 &&
+	return n.clusterID != "" && !n.draining && n.knowsConfig() && len(n.servingDomains()) > 0 &&
 		n.leaderOf(DomainGroup(n.servingDomains()[0])).ID != ""
 }
 
--- a/internal/node/pimcore/world_test.go
+++ b/internal/node/pimcore/world_test.go
@@ -200,10 +200,19 @@
 	}
 	if !h.frozen {
 		w.handle(h, pimcore.Tick{})
+		w.checkForce(h)
 	}
 	w.after(pimcore.TickInterval, func() { w.tick(h, node) })
 }
 
+// checkForce checks that a daemon which counts its configuration as current has what
+// is in force everywhere.
+func (w *world) checkForce(h *host) {
+	if h.node != nil && h.node.HasConfigLease() && h.node.Version() < w.record.forced {
+		w.record.violate("%s acts on version %d, %d is in force", h.name, h.node.Version(), w.record.forced)
+	}
+}
+
 func (w *world) handle(h *host, event pimcore.Event) {
 	if h.node == nil {
 		return
