A test of whole daemons with real sockets and folders

Cause: the adapters (disk, peers, HTTP) were tested only by the demo and scripts. Change: TestCluster commits, requests, sends bad input, kills and restarts, loses a data folder, stops gracefully. Nothing is measured against a time.

--- a/internal/measure/pimdemo/cluster.go
+++ b/internal/measure/pimdemo/cluster.go
@@ -231,3 +231,9 @@
 		p.cancel()
 	}
 }
+
+// Balancer returns the stand-in for the platform's balancer.
+func (c *Cluster) Balancer() *pimplatform.Balancer { return c.balancer }
+
+// Witness returns what the stand-ins saw.
+func (c *Cluster) Witness() *pimwitness.Witness { return c.witness }
--- /dev/null
+++ b/internal/measure/pimdemo/cluster_test.go
@@ -0,0 +1,173 @@
+package pimdemo_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
+	"github.com/pimentoswitch/pimentoswitch/internal/measure/pimdemo"
+	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
+)
+
+// waitLimit only ends a test that hangs; nothing is measured against it.
+const waitLimit = 2 * time.Minute
+
+// newCluster runs daemons with real sockets and folders, and stand-ins.
+func newCluster(t *testing.T, each int) (*pimdemo.Cluster, string) {
+	t.Helper()
+	folder := t.TempDir()
+	cluster, err := pimdemo.NewCluster(pimdemo.Shape{
+		Domains: []string{"north", "south", "west"}, DaemonsPerDomain: each, EndpointsPerKind: 1, WorkersPerDomain: 1,
+		Services: []string{"callout"}, Slots: 8, Work: 5 * time.Millisecond,
+		WorkerCapacity: pimmanifest.Resources{CPUMillis: 16_000, MemoryMB: 32_768}, RacksPerDomain: 1, SeedOfTheStandins: 1,
+	}, folder, &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	assert.NilError(t, err)
+	assert.NilError(t, cluster.Start())
+	t.Cleanup(cluster.Stop)
+	assert.NilError(t, cluster.WaitReady(context.Background(), waitLimit))
+	return cluster, folder
+}
+
+// eventually repeats f until it succeeds.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	end := time.Now().Add(waitLimit)
+	var err error
+	for time.Now().Before(end) {
+		if err = f(); err == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s: %v", what, err)
+}
+
+// post sends a request and returns its answer, whatever the status.
+func post(balancer *pimplatform.Balancer, body string) (pimdaemon.AnswerBody, error) {
+	var answer pimdaemon.AnswerBody
+	err := balancer.Do(context.Background(), http.MethodPost, "/v1/services/callout/requests", json.RawMessage(body), &answer)
+	var status *pimplatform.StatusError
+	if errors.As(err, &status) {
+		return answer, json.Unmarshal(status.Body, &answer)
+	}
+	return answer, err
+}
+
+func request(id string) string {
+	return fmt.Sprintf(`{"request-id":%q,"idempotent":false,"deadline-millis":20000,"payload":{"shop":7}}`, id)
+}
+
+// assertRan sends a request until it ran, and that it ran once.
+func assertRan(t *testing.T, c *pimdemo.Cluster, id string) {
+	t.Helper()
+	eventually(t, id, func() error {
+		answer, err := post(c.Balancer(), request(id))
+		if err == nil && answer.Outcome != "ran" {
+			err = errors.New(answer.Outcome + " " + answer.Name)
+		}
+		return err
+	})
+	assert.Equal(t, c.Witness().Ran(id), 1)
+}
+
+func TestCluster(t *testing.T) {
+	cluster, folder := newCluster(t, 1)
+	balancer := cluster.Balancer()
+	var change pimdaemon.ChangeAnswer
+	content := []byte("number: 1\nteams: [{name: a}]\nservices: [{name: callout, replicas: 3, team: a, idempotent: false, needs: {cpu-millis: 1000, memory-mb: 100}}]\n")
+	eventually(t, "commit", func() error {
+		return balancer.Put(context.Background(), "/v1/manifest", content, &change)
+	})
+	t.Run("the same commit has the same answer, another content conflicts", func(t *testing.T) {
+		var again pimdaemon.ChangeAnswer
+		eventually(t, "commit", func() error {
+			return balancer.Put(context.Background(), "/v1/manifest", content, &again)
+		})
+		assert.DeepEqual(t, again, change)
+		other := []byte(strings.Replace(string(content), "replicas: 3", "replicas: 2", 1))
+		err := balancer.Put(context.Background(), "/v1/manifest", other, &again)
+		assert.ErrorContains(t, err, "manifest-conflict")
+	})
+	t.Run("a request runs once and its answer is kept", func(t *testing.T) {
+		assertRan(t, cluster, "north.first")
+		for range 3 {
+			assertRan(t, cluster, "north.first")
+		}
+	})
+	t.Run("bad requests get numbered errors", func(t *testing.T) {
+		for body, name := range map[string]string{
+			`{"deadline-millis":0}`:                                                "deadline-missing",
+			`{"deadline-millis":10,"colour":1}`:                                    "bad-request",
+			`{"deadline-millis":10,"priority":12}`:                                 "bad-request",
+			`{"request-id":"nowhere.1","idempotent":false,"deadline-millis":1000}`: "request-id-home",
+			`{`: "bad-request",
+		} {
+			err := balancer.Do(context.Background(), http.MethodPost, "/v1/services/callout/requests", rawBody(body), nil)
+			assert.ErrorContains(t, err, name)
+		}
+	})
+	t.Run("a killed daemon comes back with all that was accepted", func(t *testing.T) {
+		cluster.KillDaemon("north-1")
+		assertRan(t, cluster, "south.meanwhile")
+		assert.NilError(t, cluster.RestartDaemon("north-1"))
+		assertRan(t, cluster, "north.first")
+		assertRan(t, cluster, "north.second")
+		stored, err := balancer.Get(context.Background(), "/v1/manifest")
+		assert.NilError(t, err)
+		assert.Equal(t, string(stored), string(content))
+	})
+	t.Run("a daemon that lost its folder joins and founds nothing", func(t *testing.T) {
+		before := clusterID(t, folder, "south-1")
+		cluster.KillDaemon("west-1")
+		assert.NilError(t, os.RemoveAll(filepath.Join(folder, "west-1")))
+		assert.NilError(t, cluster.RestartDaemon("west-1"))
+		eventually(t, "the cluster id", func() error {
+			if id := clusterID(t, folder, "west-1"); id != before {
+				return fmt.Errorf("cluster %q", id)
+			}
+			return nil
+		})
+		assert.NilError(t, cluster.WaitReady(context.Background(), waitLimit))
+		assertRan(t, cluster, "south.third")
+	})
+	t.Run("a graceful stop ends without an error", func(t *testing.T) {
+		assert.NilError(t, cluster.StopDaemon("south-1"))
+	})
+}
+
+// rawBody is sent as it is, also where it is no JSON.
+type rawBody string
+
+// MarshalJSON quotes what is no JSON, which the daemon must refuse as well.
+func (b rawBody) MarshalJSON() ([]byte, error) {
+	if json.Valid([]byte(b)) {
+		return []byte(b), nil
+	}
+	return json.Marshal(string(b))
+}
+
+func clusterID(t *testing.T, folder, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(folder, name, "identity.json"))
+	if err != nil {
+		return ""
+	}
+	var identity struct {
+		ClusterID string `json:"cluster-id"`
+	}
+	assert.NilError(t, json.Unmarshal(data, &identity))
+	return identity.ClusterID
+}
