A dead leader of a failure domain holds up few requests

Cause: crash-check's p99 of 428 ms came from the 400 ms that each request waited for the dead leader of its entry daemon's failure domain before it asked another. Change: the first question waits 100 ms, and a failure domain that left one unanswered comes last for a second. What is left are non-idempotent requests that wait for their home's next leader.

--- a/internal/node/pimcore/calls.go
+++ b/internal/node/pimcore/calls.go
@@ -207,7 +207,7 @@
 	case slotOrigin:
 		delete(n.slotCalls, o.attempt)
 		if code != pimcode.OK {
-			n.router.OnSlot(n.now, o.domain, pimslot.Reply{Attempt: o.attempt, Code: code, Term: ^uint64(0)})
+			n.router.OnSlot(n.now, o.domain, pimslot.Reply{Attempt: o.attempt, Code: code, Term: pimslot.NoTerm})
 		}
 	case forwardOrigin:
 		n.answer(o.from, o.id, code, detail, reply)
--- a/internal/route/pimrequest/result.go
+++ b/internal/route/pimrequest/result.go
@@ -134,6 +134,7 @@
 		if now >= w.askUntil {
 			r.release(w.domain, w.attempt, pimslot.UsageNotSent, 0)
 			w.lastCode = pimcode.NoLeader
+			r.suspects[w.domain] = now + suspectTime
 			r.nextDomain(now, w)
 		}
 	}
--- a/internal/route/pimrequest/router.go
+++ b/internal/route/pimrequest/router.go
@@ -19,6 +19,7 @@
 	attempts map[string]*row
 	late     map[string]lateAttempt
 	minTerm  map[string]uint64
+	suspects map[string]time.Duration
 	budget   float64
 	actions  []Action
 }
@@ -40,6 +41,7 @@
 		attempts: map[string]*row{},
 		late:     map[string]lateAttempt{},
 		minTerm:  map[string]uint64{},
+		suspects: map[string]time.Duration{},
 		budget:   retryBurst,
 	}
 }
@@ -59,7 +61,7 @@
 // Start takes in a request. Domains lists the failure domains to try, best first.
 func (r *Router) Start(now time.Duration, request Request, domains []string) {
 	r.last++
-	w := &row{Request: request, id: r.last, domains: domains, deadline: now + request.TTL, lastCode: pimcode.NoEndpoint}
+	w := &row{Request: request, id: r.last, domains: r.suspectsLast(now, domains), deadline: now + request.TTL, lastCode: pimcode.NoEndpoint}
 	r.rows[w.id] = w
 	if !request.Idempotent {
 		w.journalTry = fmt.Sprintf("%s-%d", r.prefix, w.id)
@@ -69,6 +71,23 @@
 	r.askSlot(now, w)
 }
 
+// suspectsLast moves failure domains whose leader left a question unanswered a moment
+// ago behind the others, so that not every request waits for a dead leader.
+func (r *Router) suspectsLast(now time.Duration, domains []string) []string {
+	ordered := slices.Clone(domains)
+	slices.SortStableFunc(ordered, func(a, b string) int {
+		return r.suspicion(now, a) - r.suspicion(now, b)
+	})
+	return ordered
+}
+
+func (r *Router) suspicion(now time.Duration, domain string) int {
+	if now < r.suspects[domain] {
+		return 1
+	}
+	return 0
+}
+
 func (r *Router) beginJournal(now time.Duration, w *row) {
 	w.state = stateJournal
 	r.act(BeginJournal{
@@ -165,6 +184,9 @@
 	if reply.Term < r.minTerm[domain] {
 		return false
 	}
+	if reply.Term != pimslot.NoTerm {
+		delete(r.suspects, domain)
+	}
 	w := r.attempts[reply.Attempt]
 	if w == nil || w.state != stateSlot || w.attempt != reply.Attempt {
 		if reply.Code == pimcode.OK && r.isUnknownAttempt(reply.Attempt) {
--- a/internal/route/pimrequest/types.go
+++ b/internal/route/pimrequest/types.go
@@ -172,7 +172,8 @@
 
 // Timing of questions and pauses.
 const (
-	slotAskTimeout = 400 * time.Millisecond
+	slotAskTimeout = 100 * time.Millisecond
+	suspectTime    = time.Second
 	journalPause   = 50 * time.Millisecond
 	slotPause      = 20 * time.Millisecond
 	MaxTTL         = 10 * time.Minute
--- a/internal/route/pimslot/types.go
+++ b/internal/route/pimslot/types.go
@@ -149,6 +149,9 @@
 	EjectFailures    = 3
 )
 
+// NoTerm is the term of a reply that no leader gave.
+const NoTerm = ^uint64(0)
+
 const (
 	maxQueuePerService = 10_000
 	maxSlots           = 4096
