Reports and announcements are decoded in a bounded pool

Change: a pond pool of four workers and a queue of 1024; a full one answers overloaded and counts the shed report. Figures: TestCluster passes under the race detector; no load figure was taken. Conclusion: adopted for the bound, not for speed.

--- a/internal/entry/pimdaemon/daemon.go
+++ b/internal/entry/pimdaemon/daemon.go
@@ -61,6 +61,7 @@
 		endpoints *endpointClient
 		server    *httpServer
 		sends     pond.Pool
+		decodes   pond.Pool
 		events    chan pimcore.Event
 		startedAt time.Time
 		decisions uint64
@@ -79,6 +80,8 @@
 	eventQueue     = 8192
 	maxEventsBatch = 512
 	sendQueue      = 256
+	decodeWorkers  = 4
+	decodeQueue    = 1024
 	drainPoll      = 50 * time.Millisecond
 )
 
@@ -90,6 +93,7 @@
 		metrics:   pimmetric.NewMetrics(),
 		endpoints: newEndpointClient(),
 		sends:     pond.NewPool(settings.MaxSends, pond.WithQueueSize(sendQueue), pond.WithNonBlocking(true)),
+		decodes:   pond.NewPool(decodeWorkers, pond.WithQueueSize(decodeQueue), pond.WithNonBlocking(true)),
 		events:    make(chan pimcore.Event, eventQueue),
 		startedAt: time.Now(),
 		drained:   make(chan struct{}),
@@ -188,6 +192,7 @@
 	<-peers
 	<-loop
 	d.sends.StopAndWait()
+	d.decodes.StopAndWait()
 	d.close()
 	return err
 }
--- a/internal/entry/pimdaemon/http.go
+++ b/internal/entry/pimdaemon/http.go
@@ -157,6 +157,23 @@
 	writeJSON(ctx, row.HTTPStatus, body)
 }
 
+// readPooled is readJSON in the bounded pool for reports, of which thousands may come at
+// once after an outage. A full pool sheds the report; its sender comes again.
+func (s *httpServer) readPooled(ctx *fasthttp.RequestCtx, target any) bool {
+	read := false
+	task, accepted := s.daemon.decodes.TrySubmit(func() { read = readJSON(ctx, target) })
+	if !accepted {
+		s.daemon.metrics.CountShed("decodes")
+		writeCode(ctx, pimcode.Overloaded, "too many reports at once")
+		return false
+	}
+	if err := task.Wait(); err != nil {
+		writeCode(ctx, pimcode.Overloaded, err.Error())
+		return false
+	}
+	return read
+}
+
 // readJSON reads a body strictly and answers a bad one itself.
 func readJSON(ctx *fasthttp.RequestCtx, target any) bool {
 	decoder := json.NewDecoder(strings.NewReader(string(ctx.PostBody())))
--- a/internal/entry/pimdaemon/http_platform.go
+++ b/internal/entry/pimdaemon/http_platform.go
@@ -50,7 +50,7 @@
 
 func (s *httpServer) postEndpoint(ctx *fasthttp.RequestCtx, _ string) {
 	var announcement pimslot.Announcement
-	if !readJSON(ctx, &announcement) {
+	if !s.readPooled(ctx, &announcement) {
 		return
 	}
 	if detail := checkAnnouncement(announcement); detail != "" {
@@ -86,7 +86,7 @@
 
 func (s *httpServer) postWorker(ctx *fasthttp.RequestCtx, _ string) {
 	var report pimplace.Report
-	if !readJSON(ctx, &report) {
+	if !s.readPooled(ctx, &report) {
 		return
 	}
 	if detail := checkReport(report); detail != "" {
@@ -101,7 +101,7 @@
 
 func (s *httpServer) postReport(ctx *fasthttp.RequestCtx, worker string) {
 	var report pimplace.Report
-	if !readJSON(ctx, &report) {
+	if !s.readPooled(ctx, &report) {
 		return
 	}
 	if report.Worker == "" {
