The same seed gives the same run

Cause: calls that a former leader gives up, and failure domains and services at a mark or a recovery, were handled in the order of a map. Change: they are sorted; TestDeterminism compares every command of two runs.

--- a/internal/node/pimcore/groups.go
+++ b/internal/node/pimcore/groups.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
@@ -178,8 +180,8 @@
 
 // onConfigChange makes marks effective at once for what this node leads.
 func (n *Node) onConfigChange() {
-	for domain, lead := range n.domains {
-		lead.slots.SetOutOfService(n.state.IsOut(domain))
+	for _, domain := range slices.Sorted(maps.Keys(n.domains)) {
+		n.domains[domain].slots.SetOutOfService(n.state.IsOut(domain))
 	}
 }
 
@@ -223,7 +225,8 @@
 }
 
 func (n *Node) abandonWaiting(g *group) {
-	for index, w := range g.waiting {
+	for _, index := range slices.Sorted(maps.Keys(g.waiting)) {
+		w := g.waiting[index]
 		delete(g.waiting, index)
 		n.respondCode(w.from, w.id, pimcode.LeadershipLost, "")
 	}
--- a/internal/node/pimcore/random_test.go
+++ b/internal/node/pimcore/random_test.go
@@ -164,3 +164,44 @@
 		}
 	}
 }
+
+// TestDeterminism runs the same seed twice: every command of every core must be the same.
+func TestDeterminism(t *testing.T) {
+	t.Parallel()
+	trace := func() []string {
+		var lines []string
+		w := newWorld(t, 41)
+		w.onCommand = func(h *host, command pimcore.Command) { lines = append(lines, w.traceLine(h, command)) }
+		w.addEndpoints("callout", 2, 4, 20*time.Millisecond)
+		w.addWorkers(3, workerCapacity)
+		w.commit(1, 80)
+		w.callers("callout", 10*time.Millisecond, 20*time.Second)
+		w.twins(200)
+		for range 6 {
+			w.randomFault()
+			w.run(3 * time.Second)
+		}
+		w.recover()
+		w.run(10 * time.Second)
+		return lines
+	}
+	first, second := trace(), trace()
+	for i := range min(len(first), len(second)) {
+		assert.Equal(t, first[i], second[i], "command %d of %d", i, len(first))
+	}
+	assert.Equal(t, len(first), len(second))
+}
+
+// traceLine names a command without what is encoded from maps, whose bytes may differ.
+func (w *world) traceLine(h *host, command pimcore.Command) string {
+	switch c := command.(type) {
+	case pimcore.SendPeer:
+		return fmt.Sprintf("%s %s sends %T to %s", w.now, h.name, c.Message, c.To)
+	case pimcore.Persist:
+		return fmt.Sprintf("%s %s persists %s %d/%d and sends %d", w.now, h.name, c.Group, c.Index, c.Term, len(c.Then))
+	case pimcore.AnswerCall:
+		return fmt.Sprintf("%s %s answers %T %d", w.now, h.name, c.Reply, c.Code)
+	default:
+		return fmt.Sprintf("%s %s %+v", w.now, h.name, command)
+	}
+}
--- a/internal/route/pimslot/choose.go
+++ b/internal/route/pimslot/choose.go
@@ -1,6 +1,8 @@
 package pimslot
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
@@ -89,7 +91,7 @@
 }
 
 func (a *Allocator) grantAll(now time.Duration) {
-	for name := range a.services {
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
 		a.grant(now, name)
 	}
 }
