--- a/internal/entry/pimcode/codes.go
+++ b/internal/entry/pimcode/codes.go
@@ -114,7 +114,7 @@
 	{ManifestStale, "manifest-stale", 409, "The base version is not the version in force.", "Read it with manifest show and commit on top of it."},
 	{ManifestMissing, "manifest-missing", 404, "No manifest has been committed.", "Commit one."},
 	{ChangeConflict, "change-conflict", 409, "Another mark with this number was accepted first.", "Read the marks with domain list and decide again."},
-	{LeaseExpired, "lease-expired", 409, "The lease ran out.", "The worker stops the tasks and reports again."},
+	{LeaseExpired, "lease-expired", 409, "The worker's lease ran out and its tasks are being given to others.", "The worker goes on until its own lease ends, stops its tasks and reports again."},
 	{WorkerUnknown, "worker-unknown", 404, "The worker has not registered.", "Register first."},
 	{NotLeader, "not-leader", 503, "This daemon does not lead the group.", "Nothing; daemons ask the leader again by themselves."},
 	{NoLeader, "no-leader", 503, "The group has no leader that can be reached.", "Come back after retry-after-millis."},
