An answer without a length no longer counts as whole

Cause: nothing tested the sender's check of answers. TestSend, which sends raw bytes over real connections, failed: the HTTP library sets the length of a body that ends with its connection to what came, so one that was cut short looked whole. Change: the body is streamed and read against the length that the endpoint gave; only the connection of a whole answer is used again. Broken-off answers have the code answer-incomplete now.

--- a/internal/entry/pimdaemon/endpoint_client.go
+++ b/internal/entry/pimdaemon/endpoint_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -63,7 +64,7 @@
 		MaxConns:                      connectionsEach,
 		MaxIdleConnDuration:           idleConnection,
 		MaxIdemponentCallAttempts:     1,
-		MaxResponseBodySize:           maxAnswerBytes,
+		StreamResponseBody:            true,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DisableHeaderNamesNormalizing: false,
 	}
@@ -91,14 +92,36 @@
 	case err != nil:
 		result.Kind = pimrequest.ResultLost
 	default:
-		result.Kind = judgeAnswer(response, a)
-	}
-	if result.Kind == pimrequest.ResultWhole {
-		result.Payload = append([]byte(nil), response.Body()...)
+		result.Kind, result.Payload = readAnswer(response, a)
 	}
 	return result
 }
 
+// readAnswer reads the body itself, since the library sets the length of a body that
+// ends with its connection to what came, so that one cut short would look whole. Only
+// the connection of a whole answer is used again.
+func readAnswer(response *fasthttp.Response, a pimrequest.SendAttempt) (pimrequest.ResultKind, []byte) {
+	length := response.Header.ContentLength()
+	var body []byte
+	var err error
+	if length > 0 && length <= maxAnswerBytes {
+		body = make([]byte, length)
+		_, err = io.ReadFull(response.BodyStream(), body)
+	}
+	kind := judgeAnswer(response, a)
+	if kind == pimrequest.ResultWhole && (err != nil || length < 0 || length > maxAnswerBytes) {
+		kind = pimrequest.ResultIncomplete
+	}
+	if kind != pimrequest.ResultWhole {
+		response.SetConnectionClose()
+		body = nil
+	}
+	if err := response.CloseBodyStream(); err != nil {
+		return pimrequest.ResultIncomplete, nil
+	}
+	return kind, body
+}
+
 func fillRequest(request *fasthttp.Request, a pimrequest.SendAttempt) {
 	request.SetRequestURI("http://" + a.Address + "/v1/services/" + a.Service + "/requests")
 	request.Header.SetMethod(fasthttp.MethodPost)
@@ -113,7 +136,7 @@
 	}
 }
 
-// judgeAnswer checks that an answer is whole and belongs to the attempt.
+// judgeAnswer checks by its head that an answer belongs to the attempt and says that it ran.
 func judgeAnswer(response *fasthttp.Response, a pimrequest.SendAttempt) pimrequest.ResultKind {
 	if string(response.Header.Peek(HeaderAttempt)) != a.Attempt {
 		return pimrequest.ResultCrossed
@@ -124,8 +147,5 @@
 	if response.StatusCode() != fasthttp.StatusOK {
 		return pimrequest.ResultLost
 	}
-	if response.Header.ContentLength() != len(response.Body()) {
-		return pimrequest.ResultIncomplete
-	}
 	return pimrequest.ResultWhole
 }
--- /dev/null
+++ b/internal/entry/pimdaemon/endpoint_client_test.go
@@ -0,0 +1,78 @@
+package pimdaemon
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
+)
+
+// answerWith listens and answers each connection's first request with raw bytes, then closes.
+func answerWith(t *testing.T, raw string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				fmt.Fprint(conn, raw)
+			}
+			conn.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+func TestSend(t *testing.T) {
+	const own = HeaderAttempt + ": a-1\r\n"
+	cases := map[string]struct {
+		raw  string
+		kind pimrequest.ResultKind
+	}{
+		"a whole answer":                       {"HTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\ngood", pimrequest.ResultWhole},
+		"the answer to another attempt":        {"HTTP/1.1 200 OK\r\n" + HeaderAttempt + ": a-2\r\nContent-Length: 4\r\n\r\ngood", pimrequest.ResultCrossed},
+		"an answer without an attempt":         {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", pimrequest.ResultCrossed},
+		"an answer that breaks off":            {"HTTP/1.1 200 OK\r\n" + own + "Content-Length: 40\r\n\r\ngood", pimrequest.ResultIncomplete},
+		"an answer without a length":           {"HTTP/1.1 200 OK\r\n" + own + "\r\ngood", pimrequest.ResultIncomplete},
+		"the endpoint says not-run":            {"HTTP/1.1 503 No\r\n" + own + HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n", pimrequest.ResultRefused},
+		"an error without a word of not-run":   {"HTTP/1.1 503 No\r\n" + own + "Content-Length: 0\r\n\r\n", pimrequest.ResultLost},
+		"a connection closed with no answer":   {"", pimrequest.ResultLost},
+		"not-run for another attempt's sake":   {"HTTP/1.1 503 No\r\n" + HeaderAttempt + ": a-2\r\n" + HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n", pimrequest.ResultCrossed},
+		"something that is no HTTP whatsoever": {"good\r\n\r\n", pimrequest.ResultLost},
+	}
+	for name, c := range cases {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
+				result := newEndpointClient().send(pimrequest.SendAttempt{
+					Attempt: "a-1", Address: answerWith(t, c.raw), Service: "callout", RequestID: "north.1", Idempotent: idempotent, TTL: 20 * time.Second,
+				})
+				assert.Equal(t, result.Kind, c.kind)
+				assert.Equal(t, result.Attempt, "a-1")
+			})
+		}
+	}
+	t.Run("nothing listens: nothing was sent", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		assert.NilError(t, listener.Close())
+		result := newEndpointClient().send(pimrequest.SendAttempt{Attempt: "a-1", Address: address, TTL: 20 * time.Second})
+		assert.Equal(t, result.Kind, pimrequest.ResultNotSent)
+	})
+}
