--- a/internal/member/pimpeer/transport_test.go
+++ b/internal/member/pimpeer/transport_test.go
@@ -117,11 +117,11 @@
 	}
 	f.Add(data)
 	f.Add([]byte{255, 255, 255, 255})
-	f.Fuzz(func(_ *testing.T, data []byte) {
+	f.Fuzz(func(t *testing.T, data []byte) {
 		frame, err := pimpeer.ReadFrame(bytes.NewReader(data))
 		if err == nil {
 			if message, err := pimmessage.DecodePeer(frame.Body); err == nil && message == nil {
-				panic("a decoded message is nil")
+				t.Fatal("a decoded message is nil")
 			}
 		}
 	})
