--- a/internal/entry/pimcode/codes_test.go
+++ b/internal/base/pimcode/codes_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 )
 
 func ExampleNew() {
--- a/internal/entry/pimcommand/client.go
+++ b/internal/entry/pimcommand/client.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
--- a/internal/entry/pimcommand/demo.go
+++ b/internal/entry/pimcommand/demo.go
@@ -9,7 +9,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 	"github.com/pimentoswitch/pimentoswitch/internal/measure/pimdemo"
 )
--- a/internal/entry/pimcommand/errors.go
+++ b/internal/entry/pimcommand/errors.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 )
 
@@ -36,7 +36,7 @@
 func WriteErrorsPage(out io.Writer) {
 	fmt.Fprintln(out, "# Result codes")
 	fmt.Fprintln(out)
-	fmt.Fprintln(out, "Written by `make docs` from the table in `internal/entry/pimcode`. Code 0 is success.")
+	fmt.Fprintln(out, "Written by `make docs` from the table in `internal/base/pimcode`. Code 0 is success.")
 	fmt.Fprintln(out)
 	fmt.Fprintln(out, "| code | name | HTTP status | meaning | what to do |")
 	fmt.Fprintln(out, "| --- | --- | --- | --- | --- |")
--- a/internal/entry/pimcommand/load.go
+++ b/internal/entry/pimcommand/load.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 	"github.com/pimentoswitch/pimentoswitch/internal/measure/pimload"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
--- a/internal/entry/pimcommand/main.go
+++ b/internal/entry/pimcommand/main.go
@@ -14,7 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 )
 
--- a/internal/entry/pimcommand/manifest.go
+++ b/internal/entry/pimcommand/manifest.go
@@ -6,7 +6,7 @@
 	"os"
 	"strings"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
--- a/internal/entry/pimcommand/standin.go
+++ b/internal/entry/pimcommand/standin.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimsetting"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimendpoint"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimworker"
--- a/internal/entry/pimdaemon/daemon.go
+++ b/internal/entry/pimdaemon/daemon.go
@@ -14,9 +14,9 @@
 	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimmetric"
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimmetric"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimpeer"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
--- a/internal/entry/pimdaemon/http.go
+++ b/internal/entry/pimdaemon/http.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
 )
 
--- a/internal/entry/pimdaemon/http_caller.go
+++ b/internal/entry/pimdaemon/http_caller.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
 )
--- a/internal/entry/pimdaemon/http_platform.go
+++ b/internal/entry/pimdaemon/http_platform.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
--- a/internal/entry/pimdaemon/identity.go
+++ b/internal/entry/pimdaemon/identity.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"sync"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 )
 
 type (
--- a/internal/entry/pimsetting/setting.go
+++ b/internal/entry/pimsetting/setting.go
@@ -17,7 +17,7 @@
 
 	"github.com/spf13/pflag"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 )
 
 type (
--- a/internal/measure/pimdemo/demo.go
+++ b/internal/measure/pimdemo/demo.go
@@ -15,7 +15,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/measure/pimload"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimowner"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
--- a/internal/member/pimpeer/frame.go
+++ b/internal/member/pimpeer/frame.go
@@ -11,7 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 )
 
 // Frame is one message on a connection. A frame without a body is a ping, or a pong
--- a/internal/member/pimpeer/transport.go
+++ b/internal/member/pimpeer/transport.go
@@ -12,8 +12,8 @@
 
 	"github.com/alitto/pond/v2"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 )
 
--- a/internal/member/pimpeer/transport_test.go
+++ b/internal/member/pimpeer/transport_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimpeer"
 )
--- a/internal/node/pimcore/callers_test.go
+++ b/internal/node/pimcore/callers_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
 )
--- a/internal/node/pimcore/config_lead.go
+++ b/internal/node/pimcore/config_lead.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimowner"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
--- a/internal/node/pimcore/groups.go
+++ b/internal/node/pimcore/groups.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
--- a/internal/node/pimcore/requests.go
+++ b/internal/node/pimcore/requests.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
 )
--- a/internal/node/pimcore/types.go
+++ b/internal/node/pimcore/types.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
--- a/internal/route/pimrequest/types.go
+++ b/internal/route/pimrequest/types.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimdomain"
 )
--- a/internal/route/pimslot/types.go
+++ b/internal/route/pimslot/types.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimqueue"
 )
 
--- a/internal/standin/pimplatform/balancer.go
+++ b/internal/standin/pimplatform/balancer.go
@@ -13,7 +13,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 )
 
 type (
--- a/internal/state/pimconsensus/replica.go
+++ b/internal/state/pimconsensus/replica.go
@@ -7,7 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 )
 
 type (
--- a/internal/state/pimdomain/journal.go
+++ b/internal/state/pimdomain/journal.go
@@ -1,6 +1,6 @@
 package pimdomain
 
-import "github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+import "github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 
 // Lookup returns what the journal would answer to a BeginRequest without an entry
 // in the log, and false if an entry is needed.
--- a/internal/state/pimdomain/state.go
+++ b/internal/state/pimdomain/state.go
@@ -10,7 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimcodec"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconfig"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimmanifest"
--- a/internal/state/pimlog/store_test.go
+++ b/internal/state/pimlog/store_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
 )
