--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,13 @@
 
 check:
 	@mkdir -p test
-	@test -z "$$($(TOOL) gofumpt -l cmd internal test)" || { $(TOOL) gofumpt -d cmd internal test; exit 1; }
+	@test -z "$$($(TOOL) gofumpt -l cmd internal platform test)" || { $(TOOL) gofumpt -d cmd internal platform test; exit 1; }
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 	$(TOOL) revive -config tools/revive.toml ./...
 
 fmt:
-	$(TOOL) gofumpt -w cmd internal test
+	$(TOOL) gofumpt -w cmd internal platform test
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/cmd/pimentoswitch/main.go
+++ b/cmd/pimentoswitch/main.go
@@ -5,6 +5,9 @@
 	"os"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimcommand"
+	"github.com/pimentoswitch/pimentoswitch/platform/pimadapter"
 )
 
-func main() { os.Exit(pimcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(pimcommand.Main(os.Args[1:], os.Stdout, os.Stderr, pimadapter.Commands()...))
+}
--- a/internal/base/pimcode/codes.go
+++ b/internal/base/pimcode/codes.go
@@ -30,7 +30,7 @@
 )
 
 // The codes, by area: 10xx requests from outside, 11xx routing, 12xx journal,
-// 13xx manifests and marks, 14xx placement, 15xx state and membership, 16xx settings.
+// 13xx manifests and marks, 14xx placement and jobs, 15xx state and membership, 16xx settings.
 const (
 	OK Code = 0
 
@@ -66,6 +66,9 @@
 	ChangeConflict    Code = 1305
 	LeaseExpired      Code = 1401
 	WorkerUnknown     Code = 1402
+	QueueUnknown      Code = 1403
+	JobUnknown        Code = 1404
+	JobInvalid        Code = 1405
 	NotLeader         Code = 1501
 	NoLeader          Code = 1502
 	LeadershipLost    Code = 1503
@@ -116,6 +119,9 @@
 	{ChangeConflict, "change-conflict", 409, "Another mark with this number was accepted first.", "Read the marks with domain list and decide again."},
 	{LeaseExpired, "lease-expired", 409, "The worker's lease ran out and its tasks are being given to others.", "The worker goes on until its own lease ends, stops its tasks and reports again."},
 	{WorkerUnknown, "worker-unknown", 404, "The worker has not registered.", "Register first."},
+	{QueueUnknown, "queue-unknown", 404, "No queue of the configuration in force has this address.", "Check host and path."},
+	{JobUnknown, "job-unknown", 410, "No such job is known, or it ended long ago.", "Check the id."},
+	{JobInvalid, "job-invalid", 400, "The job's body or one of its steps can't be read or can't be carried out.", "Correct the field that the text names."},
 	{NotLeader, "not-leader", 503, "This daemon does not lead the group.", "Nothing; daemons ask the leader again by themselves."},
 	{NoLeader, "no-leader", 503, "The group has no leader that can be reached.", "Come back after retry-after-millis."},
 	{LeadershipLost, "leadership-lost", 503, "The leader changed before the entry was committed.", "Send the same again; an equal number and content is the same change."},
--- a/internal/base/pimmetric/metric.go
+++ b/internal/base/pimmetric/metric.go
@@ -53,6 +53,14 @@
 	m.scope.Counter("attempt-micros").Inc(took.Microseconds())
 }
 
+// Add counts events of one kind.
+func (m *Metrics) Add(name string, count int64) { m.scope.Counter(name).Inc(count) }
+
+// CountEnd counts the end of a run.
+func (m *Metrics) CountEnd(how string) {
+	m.scope.Tagged(map[string]string{"how": how}).Counter("run-ends").Inc(1)
+}
+
 // SetGauge sets a gauge.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
--- a/internal/entry/pimcommand/main.go
+++ b/internal/entry/pimcommand/main.go
@@ -62,8 +62,9 @@
 }
 
 // Main runs the program and returns its exit status: 0 when all went well, 2 for a bad
-// setting or command line, 1 for any other failure.
-func Main(args []string, out, errOut io.Writer) int {
+// setting or command line, 1 for any other failure. Extra commands come from adapters
+// for platforms.
+func Main(args []string, out, errOut io.Writer, extra ...*cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
@@ -79,6 +80,7 @@
 	for _, row := range table() {
 		root.AddCommand(build(row, "", out, errOut))
 	}
+	root.AddCommand(extra...)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return exitOK
--- /dev/null
+++ b/internal/job/pimask/asks.go
@@ -0,0 +1,166 @@
+// Package pimask holds the questions that daemons pass on to the leader of the jobs,
+// and its answers.
+package pimask
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimcodec"
+)
+
+type (
+	// Ask is a question to the leader. All but Beat may be asked again after a lost answer.
+	Ask interface{ isAsk() }
+
+	// Answer is the leader's answer.
+	Answer interface{ isAnswer() }
+
+	// Submit hands in a job at the queue that a caller's address leads to.
+	Submit struct {
+		Host       string            `msgpack:"h"`
+		Path       string            `msgpack:"p"`
+		Submission pimjob.Submission `msgpack:"s"`
+	}
+
+	// Lookup asks for the state of the job, or for the count of jobs that have not
+	// started where the address names no job.
+	Lookup struct {
+		Host string `msgpack:"h"`
+		Path string `msgpack:"p"`
+	}
+
+	// Cancel ends a job.
+	Cancel struct {
+		Host string `msgpack:"h"`
+		Path string `msgpack:"p"`
+	}
+
+	// Beat is what a worker says of itself. Clock is its own steady clock; Sequence rises
+	// with each beat of a life.
+	Beat struct {
+		Worker   pimjob.Worker `msgpack:"w"`
+		Clock    time.Duration `msgpack:"c"`
+		Sequence int64         `msgpack:"s"`
+		// Leaves is the least time that a draining worker stays.
+		Leaves time.Duration `msgpack:"l,omitempty"`
+	}
+
+	// Leave tells that a worker ends. Born 0 is its present life.
+	Leave struct {
+		ID   string `msgpack:"i"`
+		Born int64  `msgpack:"b"`
+	}
+
+	// PutConfig hands in a configuration that has been checked.
+	PutConfig struct {
+		Config pimjob.Config `msgpack:"c"`
+	}
+
+	// GetConfig asks for the configuration in force.
+	GetConfig struct{}
+
+	// MarkDomain takes a failure domain out of service or back in.
+	MarkDomain struct {
+		Domain string `msgpack:"d"`
+		Out    bool   `msgpack:"o"`
+	}
+
+	// Done tells that the ask is carried out and stored.
+	Done struct{}
+
+	// JobState is the state of a job.
+	JobState struct {
+		State pimjob.JobState `msgpack:"s"`
+	}
+
+	// Pending is the count of jobs of a queue that have not started.
+	Pending struct {
+		Count int `msgpack:"c"`
+	}
+
+	// ConfigText is a configuration as it was handed in.
+	ConfigText struct {
+		Text []byte `msgpack:"t"`
+	}
+
+	// Refused tells that the ask was not and will not be carried out.
+	Refused struct {
+		Code       pimcode.Code  `msgpack:"c"`
+		Detail     string        `msgpack:"d"`
+		RetryAfter time.Duration `msgpack:"r,omitempty"`
+	}
+
+	// NotLeader tells that the ask was not carried out here.
+	NotLeader struct {
+		Leader string `msgpack:"l"`
+	}
+
+	// Unclear tells that the ask may or may not have been carried out; ask again.
+	Unclear struct{}
+)
+
+var codec = pimcodec.NewCodec([]pimcodec.Kind{
+	{Name: "submit", Zero: Submit{}},
+	{Name: "lookup", Zero: Lookup{}},
+	{Name: "cancel", Zero: Cancel{}},
+	{Name: "beat", Zero: Beat{}},
+	{Name: "leave", Zero: Leave{}},
+	{Name: "put-config", Zero: PutConfig{}},
+	{Name: "get-config", Zero: GetConfig{}},
+	{Name: "mark-domain", Zero: MarkDomain{}},
+	{Name: "done", Zero: Done{}},
+	{Name: "job-state", Zero: JobState{}},
+	{Name: "pending", Zero: Pending{}},
+	{Name: "config-text", Zero: ConfigText{}},
+	{Name: "refused", Zero: Refused{}},
+	{Name: "not-leader", Zero: NotLeader{}},
+	{Name: "unclear", Zero: Unclear{}},
+})
+
+func (Submit) isAsk()     {}
+func (Lookup) isAsk()     {}
+func (Cancel) isAsk()     {}
+func (Beat) isAsk()       {}
+func (Leave) isAsk()      {}
+func (PutConfig) isAsk()  {}
+func (GetConfig) isAsk()  {}
+func (MarkDomain) isAsk() {}
+
+func (Done) isAnswer()       {}
+func (JobState) isAnswer()   {}
+func (Pending) isAnswer()    {}
+func (ConfigText) isAnswer() {}
+func (Refused) isAnswer()    {}
+func (NotLeader) isAnswer()  {}
+func (Unclear) isAnswer()    {}
+
+// Encode returns the bytes of an ask or answer.
+func Encode(value any) ([]byte, error) { return codec.Encode(value) }
+
+// DecodeAsk reads an ask.
+func DecodeAsk(data []byte) (Ask, error) {
+	value, err := codec.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	ask, ok := value.(Ask)
+	if !ok {
+		return nil, pimcode.New(pimcode.UnknownMessage, "%T is no ask", value)
+	}
+	return ask, nil
+}
+
+// DecodeAnswer reads an answer.
+func DecodeAnswer(data []byte) (Answer, error) {
+	value, err := codec.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	answer, ok := value.(Answer)
+	if !ok {
+		return nil, pimcode.New(pimcode.UnknownMessage, "%T is no answer", value)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/job/pimcontrol/asks.go
@@ -0,0 +1,203 @@
+package pimcontrol
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimask"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+)
+
+// jobIDLength is the length of a job's id, which callers choose.
+const jobIDLength = 16
+
+// onAsk answers an ask of a daemon, at once or later.
+func (c *Control) onAsk(from string, request pimmessage.CallRequest) {
+	respond := func(answer pimask.Answer) {
+		body, err := pimask.Encode(answer)
+		if err != nil {
+			c.logger.Error().Err(err).Msg("answer can't be encoded")
+			return
+		}
+		c.Send(pimforward.AddressOf(from), from, pimmessage.CallReply{ID: request.ID, Body: body})
+	}
+	ask, err := pimask.DecodeAsk(request.Body)
+	if err != nil {
+		respond(pimask.Refused{Code: pimcode.UnknownMessage, Detail: err.Error()})
+		return
+	}
+	l := c.lead
+	if l == nil || !l.ready || c.replica.IsTransferring() {
+		leader := c.replica.LeaderID()
+		if leader == c.id {
+			leader = ""
+		}
+		respond(pimask.NotLeader{Leader: leader})
+		return
+	}
+	switch ask := ask.(type) {
+	case pimask.Submit:
+		c.submit(ask, respond)
+	case pimask.Lookup:
+		l.read(c, respond, func() pimask.Answer { return c.lookup(ask) })
+	case pimask.Cancel:
+		c.cancel(ask, respond)
+	case pimask.Beat:
+		c.beat(ask, respond)
+	case pimask.Leave:
+		c.leave(ask, respond)
+	case pimask.PutConfig:
+		c.putConfig(ask, respond)
+	case pimask.GetConfig:
+		l.read(c, respond, c.configText)
+	case pimask.MarkDomain:
+		c.logger.Info().Str("failure-domain", ask.Domain).Bool("out", ask.Out).Msg("mark is stored")
+		l.write(respond, pimjob.MarkDomain{Domain: ask.Domain, Out: ask.Out})
+	}
+}
+
+// read answers from the state once this leadership is confirmed.
+func (l *lead) read(c *Control, respond reply, answer func() pimask.Answer) {
+	l.reads = append(l.reads, read{at: c.now, answer: answer, reply: respond})
+}
+
+// write answers once the operations are in the log.
+func (l *lead) write(respond reply, ops ...pimjob.Op) {
+	l.gathered.ops = append(l.gathered.ops, ops...)
+	l.gathered.replies = append(l.gathered.replies, respond)
+}
+
+func (c *Control) submit(ask pimask.Submit, respond reply) {
+	l := c.lead
+	id := ask.Submission.ID
+	if c.state.Job(id) != nil {
+		respond(pimask.Done{})
+		return
+	}
+	if waiting, ok := l.submitting[id]; ok {
+		l.submitting[id] = append(waiting, respond)
+		return
+	}
+	queue, rest := c.state.Config().FindQueue(ask.Host, ask.Path)
+	if queue == nil || rest != id {
+		l.read(c, respond, func() pimask.Answer { return c.noQueue(ask.Host, ask.Path) })
+		return
+	}
+	l.submitting[id] = []reply{respond}
+	l.gathered.ops = append(l.gathered.ops, pimjob.Submit{Submission: ask.Submission, Queue: *queue})
+	l.gathered.submits = append(l.gathered.submits, id)
+	c.metrics.Add("submitted", 1)
+	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Int("steps", len(ask.Submission.Steps)).Msg("job is taken in")
+}
+
+// noQueue answers an ask whose address led to no queue when it came.
+func (c *Control) noQueue(host, path string) pimask.Answer {
+	if c.state.Config().Version == 0 {
+		return pimask.Refused{Code: pimcode.ManifestMissing, Detail: "no configuration yet", RetryAfter: time.Second}
+	}
+	if queue, _ := c.state.Config().FindQueue(host, path); queue != nil {
+		return pimask.Unclear{}
+	}
+	return pimask.Refused{Code: pimcode.QueueUnknown, Detail: "no queue at " + host + path}
+}
+
+func (c *Control) lookup(ask pimask.Lookup) pimask.Answer {
+	queue, id := c.state.Config().FindQueue(ask.Host, ask.Path)
+	if queue == nil && len(ask.Path) >= jobIDLength {
+		id = ask.Path[len(ask.Path)-jobIDLength:]
+	}
+	if job := c.state.Job(id); job != nil {
+		return pimask.JobState{State: job.State}
+	}
+	if queue == nil {
+		return c.noQueue(ask.Host, ask.Path)
+	}
+	if id == "" {
+		return pimask.Pending{Count: c.state.CountPending(queue.Name)}
+	}
+	return pimask.Refused{Code: pimcode.JobUnknown, Detail: "no job " + id}
+}
+
+func (c *Control) cancel(ask pimask.Cancel, respond reply) {
+	l := c.lead
+	_, id := c.state.Config().FindQueue(ask.Host, ask.Path)
+	if id == "" && len(ask.Path) >= jobIDLength {
+		id = ask.Path[len(ask.Path)-jobIDLength:]
+	}
+	_, coming := l.submitting[id]
+	job := c.state.Job(id)
+	switch {
+	case coming || (job != nil && !job.State.IsEnded()):
+		c.logger.Info().Str("job", id).Msg("job is cancelled")
+		l.write(respond, pimjob.Cancel{ID: id})
+	default:
+		l.read(c, respond, func() pimask.Answer {
+			if c.state.Job(id) != nil {
+				return pimask.Done{}
+			}
+			return pimask.Refused{Code: pimcode.JobUnknown, Detail: "no job " + id}
+		})
+	}
+}
+
+// beat notes a worker. It is answered at once unless something changed that must be kept.
+func (c *Control) beat(ask pimask.Beat, respond reply) {
+	l := c.lead
+	worker := ask.Worker
+	if c.state.HasDeparted(worker.ID, worker.Born) {
+		respond(pimask.Done{})
+		return
+	}
+	known := c.state.Worker(worker.ID)
+	if known != nil && known.Born > worker.Born {
+		respond(pimask.Done{})
+		return
+	}
+	if known != nil && known.Born == worker.Born && known.Draining {
+		worker.Draining = true
+	}
+	if known != nil && known.Born == worker.Born && known.Draining == worker.Draining && known.Address == worker.Address {
+		l.fleet.OnBeat(worker.ID, worker.Born, ask.Clock, c.now)
+		respond(pimask.Done{})
+		return
+	}
+	id, born, clock := worker.ID, worker.Born, ask.Clock
+	l.write(func(answer pimask.Answer) {
+		if c.lead != nil && c.lead.fleet != nil {
+			c.lead.fleet.OnBeat(id, born, clock, c.now)
+		}
+		respond(answer)
+	}, pimjob.PutWorker{Worker: worker})
+}
+
+func (c *Control) leave(ask pimask.Leave, respond reply) {
+	known := c.state.Worker(ask.ID)
+	born := ask.Born
+	if known != nil && born == 0 {
+		born = known.Born
+	}
+	if known == nil || known.Born > born {
+		respond(pimask.Done{})
+		return
+	}
+	c.lead.write(respond, pimjob.DropWorker{ID: ask.ID, Born: born})
+}
+
+func (c *Control) putConfig(ask pimask.PutConfig, respond reply) {
+	if ask.Config.Version <= c.state.Config().Version {
+		c.lead.read(c, respond, func() pimask.Answer { return pimask.Done{} })
+		return
+	}
+	c.logger.Info().Int64("version", ask.Config.Version).Int("queues", len(ask.Config.Queues)).Msg("configuration is proposed")
+	c.lead.write(respond, pimjob.PutConfig{Config: ask.Config})
+}
+
+func (c *Control) configText() pimask.Answer {
+	config := c.state.Config()
+	if config.Version == 0 {
+		return pimask.Refused{Code: pimcode.ManifestMissing, Detail: "no configuration yet", RetryAfter: time.Second}
+	}
+	return pimask.ConfigText{Text: config.Text}
+}
--- /dev/null
+++ b/internal/job/pimcontrol/control.go
@@ -0,0 +1,397 @@
+// Package pimcontrol is a control daemon: a member of the replicated group of jobs,
+// which answers asks, plans and follows the workers while it leads.
+//
+// One goroutine owns the replica, the state and the fleet. It takes events from one
+// channel and sleeps until the next one or the next deadline. Disk, peers and workers
+// are reached by others, which report back as events.
+package pimcontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimmetric"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// Settings are the checked settings of a control daemon.
+	Settings struct {
+		// Address is the peer address of this daemon.
+		Address string
+		DataDir string
+		// Found is set at the first start of a whole system, whose first voters are the
+		// daemons at Founders.
+		Found    bool
+		Founders []string
+		// Tolerate is how many voters may be lost at once.
+		Tolerate int
+		Fleet    pimfleet.Policy
+	}
+
+	// Workers makes calls to workers. Call blocks until the answer or its own timeout.
+	Workers interface {
+		Call(ctx context.Context, call pimfleet.Call) pimfleet.Result
+	}
+
+	// Control is one control daemon.
+	Control struct {
+		settings Settings
+		logger   *log.Logger
+		metrics  *pimmetric.Metrics
+		workers  Workers
+		id       string
+
+		transport pimforward.Sender
+		forwarder *pimforward.Forwarder
+		events    chan event
+		orders    pond.Pool
+		renewals  pond.Pool
+		disk      *disk
+
+		replica *pimconsensus.Replica
+		state   *pimjob.State
+		now     time.Duration
+		peers   map[string]time.Duration
+		helloAt time.Duration
+
+		logBytes  int
+		lead      *lead
+		wasLeader string
+		stopping  bool
+		handedAt  time.Duration
+	}
+
+	event interface{ isEvent() }
+
+	peerEvent struct {
+		from, to string
+		message  pimmessage.Peer
+	}
+
+	persistedEvent struct {
+		batch diskBatch
+		err   error
+	}
+
+	resultEvent struct{ result pimfleet.Result }
+
+	stopEvent struct{}
+)
+
+func (peerEvent) isEvent()      {}
+func (persistedEvent) isEvent() {}
+func (resultEvent) isEvent()    {}
+func (stopEvent) isEvent()      {}
+
+const (
+	eventQueue = 4096
+	// maxEvents bounds how many events are taken in before output is handed on.
+	maxEvents = 256
+	// maxOrders bounds the calls to workers under way, renewals aside.
+	maxOrders = 96
+	// maxRenewals bounds the renewals under way; each waits for an end at its worker.
+	maxRenewals = 1024
+	orderQueue  = 8192
+	// joinInterval is the time between questions to be taken in as a member.
+	joinInterval = 300 * time.Millisecond
+	// compactEntries and compactBytes are how much log is kept before a snapshot replaces it.
+	compactEntries = 2000
+	compactBytes   = 4 << 20
+	handoverWait   = time.Second
+	logFolder      = "jobs"
+)
+
+// New opens the data folder. SetTransport comes before Run.
+func New(settings Settings, workers Workers, metrics *pimmetric.Metrics, logger *log.Logger) (*Control, error) {
+	identity, err := openIdentity(settings)
+	if err != nil {
+		return nil, err
+	}
+	store, saved, err := pimlog.Open(filepath.Join(settings.DataDir, logFolder), pimlog.OpenSegment)
+	if err != nil {
+		return nil, err
+	}
+	if saved.Snapshot.Index == 0 && len(identity.Voters) > 0 {
+		saved.Snapshot = pimconsensus.Founding(identity.Voters)
+		if err := store.SaveSnapshot(saved.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	c := &Control{
+		settings: settings, logger: logger, metrics: metrics, workers: workers, id: identity.ID,
+		events:   make(chan event, eventQueue),
+		orders:   pond.NewPool(maxOrders, pond.WithQueueSize(orderQueue), pond.WithNonBlocking(true)),
+		renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(orderQueue), pond.WithNonBlocking(true)),
+		now:      pimclock.Now(),
+		peers:    map[string]time.Duration{},
+	}
+	c.disk = &disk{store: store, work: make(chan diskBatch, 1)}
+	if c.state, err = pimjob.Restore(saved.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	c.replica = pimconsensus.NewReplica(pimconsensus.Config{ID: c.id, Boot: rand.Uint64(), Seed: rand.Uint64()}, saved, c.now)
+	logger.Info().Str("id", c.id).Strs("voters", c.replica.Members().Voters).Uint64("last", c.replica.LastIndex()).
+		Int("jobs", len(c.state.OpenJobs())).Msg("state is loaded")
+	return c, nil
+}
+
+// ID returns the daemon's member id: its peer address and the life of its disk.
+func (c *Control) ID() string { return c.id }
+
+// SetTransport sets where messages go and who asks on behalf of this daemon's own callers.
+func (c *Control) SetTransport(transport pimforward.Sender, forwarder *pimforward.Forwarder) {
+	c.transport, c.forwarder = transport, forwarder
+}
+
+// Send sends a message to a daemon, this one included.
+func (c *Control) Send(address, to string, message pimmessage.Peer) {
+	if to == c.id || (to == "" && address == c.settings.Address) {
+		c.Receive(c.id, c.id, message)
+		return
+	}
+	c.transport.Send(address, to, message)
+}
+
+// Receive takes in a message of a daemon.
+func (c *Control) Receive(from, to string, message pimmessage.Peer) {
+	if to != "" && to != c.id {
+		return
+	}
+	switch message := message.(type) {
+	case pimmessage.CallReply:
+		c.forwarder.OnReply(message)
+		return
+	case pimmessage.Directory:
+		c.forwarder.OnDirectory(message)
+		return
+	}
+	select {
+	case c.events <- peerEvent{from, to, message}:
+	default:
+		c.metrics.CountShed("peer-events")
+	}
+}
+
+// Stop hands over the leadership, so that Run may be ended soon after.
+func (c *Control) Stop() {
+	c.events <- stopEvent{}
+}
+
+// Run runs the daemon until the context ends or the disk fails.
+func (c *Control) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	written := pimroutine.Start(ctx, func(ctx context.Context) error { return c.disk.run(ctx, c.events) })
+	err := c.loop(ctx)
+	cancel()
+	<-written
+	c.orders.Stop()
+	c.renewals.Stop()
+	return err
+}
+
+func (c *Control) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var first event
+		select {
+		case <-ctx.Done():
+			return nil
+		case first = <-c.events:
+		case <-timer.C:
+		}
+		c.now = pimclock.Now()
+		if err := c.takeEvents(first); err != nil {
+			return err
+		}
+		c.tick(ctx)
+		c.now = pimclock.Now()
+		timer.Reset(max(minSleep, c.nextTick()-c.now))
+	}
+}
+
+// minSleep keeps deadlines that lie close together from waking the daemon one by one.
+const minSleep = time.Millisecond
+
+func (c *Control) takeEvents(first event) error {
+	if first == nil {
+		return nil
+	}
+	if err := c.take(first); err != nil {
+		return err
+	}
+	for range maxEvents {
+		select {
+		case next := <-c.events:
+			if err := c.take(next); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+func (c *Control) take(e event) error {
+	switch e := e.(type) {
+	case peerEvent:
+		c.onPeer(e)
+	case persistedEvent:
+		return c.onPersisted(e)
+	case resultEvent:
+		if c.lead != nil {
+			c.lead.fleet.OnResult(e.result, c.now)
+		}
+	case stopEvent:
+		c.stopping = true
+	}
+	return nil
+}
+
+func (c *Control) onPeer(e peerEvent) {
+	switch message := e.message.(type) {
+	case pimmessage.Consensus:
+		if e.to != c.id {
+			return
+		}
+		decoded, err := pimmessage.DecodeConsensus(message.Body)
+		if err != nil {
+			c.logger.Error().Err(err).Str("from", e.from).Msg("consensus message can't be read")
+			return
+		}
+		c.replica.Step(c.now, e.from, decoded)
+	case pimmessage.Hello:
+		c.onHello(e.from, message)
+	case pimmessage.CallRequest:
+		c.onAsk(e.from, message)
+	}
+}
+
+// tick lets time pass and hands on what came of it.
+func (c *Control) tick(ctx context.Context) {
+	if c.now >= c.replica.NextTick() {
+		c.replica.Tick(c.now)
+	}
+	c.askToJoin()
+	c.flush()
+	c.followLeadership()
+	if c.lead != nil {
+		c.tickLead(ctx)
+		c.flush()
+	}
+	c.handOver()
+}
+
+func (c *Control) nextTick() time.Duration {
+	next := c.replica.NextTick()
+	if !c.replica.Members().Contains(c.id) {
+		next = min(next, c.helloAt)
+	}
+	if c.lead != nil {
+		next = min(next, c.lead.nextTick(c))
+	}
+	return next
+}
+
+// flush sends, stores and applies what the replica produced.
+func (c *Control) flush() {
+	for range 4 {
+		output := c.replica.Take()
+		c.send(output.Immediate)
+		if output.Restore != nil {
+			c.restore(*output.Restore)
+		}
+		c.applyCommitted(output.Committed)
+		c.disk.add(output)
+		c.send(c.disk.next())
+		if len(output.Committed) == 0 && len(output.Immediate) == 0 {
+			return
+		}
+	}
+}
+
+func (c *Control) send(envelopes []pimconsensus.Envelope) {
+	for _, envelope := range envelopes {
+		body, err := pimmessage.Encode(envelope.Message)
+		if err != nil {
+			c.logger.Error().Err(err).Msg("consensus message can't be encoded")
+			continue
+		}
+		c.transport.Send(pimforward.AddressOf(envelope.To), envelope.To, pimmessage.Consensus{Group: pimforward.GroupName, Body: body})
+	}
+}
+
+func (c *Control) restore(snapshot pimconsensus.Snapshot) {
+	state, err := pimjob.Restore(snapshot.Data)
+	if err != nil {
+		c.logger.Error().Err(err).Uint64("index", snapshot.Index).Msg("snapshot can't be read")
+		return
+	}
+	c.state = state
+	c.logBytes = 0
+	c.logger.Info().Uint64("index", snapshot.Index).Msg("state was taken over from the leader")
+}
+
+func (c *Control) applyCommitted(entries []pimconsensus.Entry) {
+	for _, entry := range entries {
+		c.logBytes += len(entry.Data)
+		if entry.Kind != pimconsensus.EntryCommand {
+			continue
+		}
+		at, ops, err := pimjob.DecodeBatch(entry.Data)
+		if err != nil {
+			c.logger.Error().Err(err).Uint64("index", entry.Index).Msg("entry can't be read")
+			continue
+		}
+		changes := c.state.Apply(at, ops)
+		if c.lead != nil {
+			c.lead.onApplied(c, entry, changes)
+		}
+	}
+	c.compact()
+}
+
+func (c *Control) compact() {
+	applied := c.replica.Applied()
+	if applied-c.replica.SnapshotIndex() < compactEntries && c.logBytes < compactBytes {
+		return
+	}
+	data, err := c.state.Snapshot()
+	if err != nil {
+		c.logger.Error().Err(err).Msg("snapshot can't be made")
+		return
+	}
+	if snapshot, ok := c.replica.Compact(applied, data); ok {
+		c.disk.addSnapshot(snapshot)
+		c.logger.Info().Uint64("index", snapshot.Index).Int("bytes", len(data)).Msg("log is compacted")
+	}
+	c.logBytes = 0
+}
+
+func (c *Control) onPersisted(e persistedEvent) error {
+	if e.err != nil {
+		c.logger.Error().Err(e.err).Msg("disk failed")
+		return e.err
+	}
+	c.disk.busy = false
+	if last, ok := e.batch.last(); ok {
+		c.replica.Persisted(c.now, last.Index, last.Term)
+	}
+	c.send(e.batch.messages)
+	c.send(c.disk.next())
+	return nil
+}
--- /dev/null
+++ b/internal/job/pimcontrol/disk.go
@@ -0,0 +1,126 @@
+package pimcontrol
+
+import (
+	"context"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// disk writes one batch at a time; what comes meanwhile gathers in the next one.
+	disk struct {
+		store   *pimlog.Store
+		work    chan diskBatch
+		busy    bool
+		pending diskBatch
+	}
+
+	// diskBatch is what is made durable, in order, before messages may go out.
+	diskBatch struct {
+		steps    []diskStep
+		messages []pimconsensus.Envelope
+	}
+
+	// diskStep is a snapshot, or a hard state with entries.
+	diskStep struct {
+		snapshot *pimconsensus.Snapshot
+		hard     *pimconsensus.HardState
+		entries  []pimconsensus.Entry
+	}
+)
+
+// add gathers an output of the replica. Entries that follow an installed snapshot are
+// written after it, those that it covers before it.
+func (d *disk) add(output pimconsensus.Output) {
+	install := output.Install
+	if install != nil && (len(output.Entries) == 0 || output.Entries[0].Index > install.Index) {
+		d.addSnapshot(*install)
+		install = nil
+	}
+	if output.Hard != nil || len(output.Entries) > 0 {
+		d.addEntries(output.Hard, output.Entries)
+	}
+	if install != nil {
+		d.addSnapshot(*install)
+	}
+	d.pending.messages = append(d.pending.messages, output.Durable...)
+}
+
+func (d *disk) addSnapshot(snapshot pimconsensus.Snapshot) {
+	d.pending.steps = append(d.pending.steps, diskStep{snapshot: &snapshot})
+}
+
+func (d *disk) addEntries(hard *pimconsensus.HardState, entries []pimconsensus.Entry) {
+	n := len(d.pending.steps)
+	if n == 0 || d.pending.steps[n-1].snapshot != nil {
+		d.pending.steps = append(d.pending.steps, diskStep{})
+		n++
+	}
+	step := &d.pending.steps[n-1]
+	if hard != nil {
+		step.hard = hard
+	}
+	step.entries = append(step.entries, entries...)
+}
+
+// next starts to write what has gathered. It returns the messages that need no write.
+func (d *disk) next() []pimconsensus.Envelope {
+	if d.busy {
+		return nil
+	}
+	batch := d.pending
+	d.pending = diskBatch{}
+	if len(batch.steps) == 0 {
+		return batch.messages
+	}
+	d.busy = true
+	d.work <- batch
+	return nil
+}
+
+// run writes batches until the context ends, then closes the store.
+func (d *disk) run(ctx context.Context, events chan<- event) error {
+	defer d.store.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case batch := <-d.work:
+			err := d.write(batch)
+			select {
+			case events <- persistedEvent{batch, err}:
+			case <-ctx.Done():
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (d *disk) write(batch diskBatch) error {
+	for _, step := range batch.steps {
+		var err error
+		if step.snapshot != nil {
+			err = d.store.SaveSnapshot(*step.snapshot)
+		} else {
+			err = d.store.Append(pimlog.Batch{Hard: step.hard, Entries: step.entries})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// last returns the last entry that the batch made durable.
+func (b diskBatch) last() (pimconsensus.Entry, bool) {
+	for i := len(b.steps) - 1; i >= 0; i-- {
+		if n := len(b.steps[i].entries); n > 0 {
+			return b.steps[i].entries[n-1], true
+		}
+	}
+	return pimconsensus.Entry{}, false
+}
--- /dev/null
+++ b/internal/job/pimfleet/fleet.go
@@ -0,0 +1,376 @@
+package pimfleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+type (
+	// Fleet follows all workers during one term of leadership.
+	Fleet struct {
+		policy   Policy
+		term     uint64
+		now      time.Duration
+		state    *pimjob.State
+		contacts map[string]*contact
+		calls    []Call
+		ops      []pimjob.Op
+		notes    []Note
+	}
+
+	// Note is a decision for the log.
+	Note struct {
+		Text   string
+		Worker string
+		Key    pimjob.TaskKey
+		Number int
+		Detail string
+	}
+
+	// contact is what the leader knows of one life of a worker.
+	contact struct {
+		worker pimjob.Worker
+		orders map[runID]*order
+
+		// clock is the worker's clock at clockAt or a little later.
+		clock    time.Duration
+		clockAt  time.Duration
+		hasClock bool
+		// lapsesAt is when the lease of all that runs there has surely run out.
+		lapsesAt time.Duration
+		lapsed   bool
+
+		cursor    int64
+		holding   bool
+		holdAt    time.Duration
+		reachable bool
+		failures  int
+		// committing is the highest end that is on its way into the log.
+		committing int64
+		unwellTill time.Duration
+		lastBeat   time.Duration
+		startWait  time.Duration
+	}
+
+	// WorkerView is what a planner may know of a worker.
+	WorkerView struct {
+		// Usable means that the worker answered its last renewal in this term.
+		Usable bool
+		// UnwellUntil is until when it should get nothing new.
+		UnwellUntil time.Duration
+		Rows        map[pimjob.TaskKey]RunView
+	}
+
+	// RunView is what a worker last listed of a run.
+	RunView struct {
+		Row     Row
+		At      time.Duration
+		Pace    int
+		MovedAt time.Duration
+	}
+)
+
+const (
+	// clockDrift is the most that a worker's clock may be slow. Source: the users' pages.
+	clockDrift = 0.02
+	// lapseMargin is added to a lease for the way of the answer that told the clock.
+	lapseMargin = 150 * time.Millisecond
+	// retryPause is the pause before a call without an answer is made again.
+	retryPause = 150 * time.Millisecond
+	// farPause is the pause between renewals of a worker that does not answer.
+	farPause = 400 * time.Millisecond
+	// lostPause is the same once its lease has run out.
+	lostPause = time.Second
+	// startAttempts is how often a start without an answer is ordered before it is stopped.
+	startAttempts = 3
+	// unwellPause is how long a worker that says it is unwell gets nothing new.
+	unwellPause = time.Second
+)
+
+// NewFleet returns the fleet of a leader whose term begins now. Leases that earlier
+// leaders granted run out a lease after that at the latest.
+func NewFleet(policy Policy, term uint64, state *pimjob.State, now time.Duration) *Fleet {
+	f := &Fleet{policy: policy, term: term, now: now, state: state, contacts: map[string]*contact{}}
+	for _, worker := range state.Workers() {
+		f.addContact(*worker)
+	}
+	return f
+}
+
+func (f *Fleet) addContact(worker pimjob.Worker) *contact {
+	c := &contact{worker: worker, orders: map[runID]*order{}, lapsesAt: f.now + stretch(f.policy.Lease) + lapseMargin}
+	for key, live := range f.state.RunsOn(worker.ID) {
+		if live.Run.Born == worker.Born {
+			c.orders[runID{key, live.Run.Number}] = &order{live: live, state: inherited, pace: 100, wantPace: 100, moved: f.now}
+		}
+	}
+	f.contacts[worker.ID] = c
+	return c
+}
+
+func stretch(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) / (1 - clockDrift))
+}
+
+func (f *Fleet) note(text, worker string, id runID, detail string) {
+	f.notes = append(f.notes, Note{Text: text, Worker: worker, Key: id.key, Number: id.number, Detail: detail})
+}
+
+// Take returns and clears the calls to make, the operations to propose and the notes.
+func (f *Fleet) Take() ([]Call, []pimjob.Op, []Note) {
+	calls, ops, notes := f.calls, f.ops, f.notes
+	f.calls, f.ops, f.notes = nil, nil, nil
+	return calls, ops, notes
+}
+
+// OnBeat takes in a worker's clock, whose life the state already holds.
+func (f *Fleet) OnBeat(id string, born int64, clock, now time.Duration) {
+	f.now = now
+	c := f.contacts[id]
+	if c == nil || c.worker.Born != born {
+		return
+	}
+	c.lastBeat = now
+	if !c.hasClock {
+		c.setClock(clock, now)
+		f.tickContact(c)
+	}
+	if !c.reachable && !c.holding && c.holdAt > now+retryPause {
+		c.holdAt = now + retryPause
+	}
+}
+
+func (c *contact) setClock(clock, now time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	c.clock, c.clockAt, c.hasClock = clock, now, true
+}
+
+// deadline returns the end of a new lease on the worker's clock and notes when it has surely run out.
+func (f *Fleet) deadline(c *contact) time.Duration {
+	if !c.hasClock {
+		return 0
+	}
+	age := f.now - c.clockAt
+	c.lapsesAt = max(c.lapsesAt, c.clockAt+stretch(age+f.policy.Lease)+lapseMargin)
+	c.lapsed = false
+	return c.clock + age + f.policy.Lease
+}
+
+// OnChanges takes in what the log did to the state.
+func (f *Fleet) OnChanges(changes []pimjob.Change, now time.Duration) {
+	f.now = now
+	for _, change := range changes {
+		switch change := change.(type) {
+		case pimjob.RunStarted:
+			f.onStarted(change.Live)
+		case pimjob.RunEnded:
+			f.onEnded(change.Live)
+		case pimjob.JobEnded:
+			f.stopRunsOf(change.Job)
+		case pimjob.WorkerChanged:
+			f.onWorker(change)
+		case pimjob.ConfigChanged:
+		}
+	}
+}
+
+func (f *Fleet) onStarted(live pimjob.LiveRun) {
+	c := f.contacts[live.Run.Worker]
+	if c == nil || c.worker.Born != live.Run.Born {
+		return
+	}
+	o := &order{live: live, state: starting, pace: 100, wantPace: 100, moved: f.now}
+	c.orders[runID{live.Key, live.Run.Number}] = o
+	f.advance(c, o)
+}
+
+func (f *Fleet) onEnded(live pimjob.LiveRun) {
+	if c := f.contacts[live.Run.Worker]; c != nil {
+		delete(c.orders, runID{live.Key, live.Run.Number})
+	}
+}
+
+func (f *Fleet) onWorker(change pimjob.WorkerChanged) {
+	known := f.contacts[change.Worker.ID]
+	if change.Gone {
+		delete(f.contacts, change.Worker.ID)
+		return
+	}
+	if known != nil && known.worker.Born == change.Worker.Born {
+		known.worker = change.Worker
+		return
+	}
+	f.addContact(change.Worker)
+}
+
+func (f *Fleet) stopRunsOf(job *pimjob.Job) {
+	if job.State == pimjob.Completed {
+		return
+	}
+	id := job.Submission.ID
+	for _, c := range f.contacts {
+		for run, o := range c.orders {
+			if run.key.Job == id {
+				f.stop(c, o)
+			}
+		}
+	}
+}
+
+// Stop stops a run, for a planner that wants its room or its place.
+func (f *Fleet) Stop(worker string, key pimjob.TaskKey, number int, now time.Duration) {
+	f.now = now
+	if c := f.contacts[worker]; c != nil {
+		if o := c.orders[runID{key, number}]; o != nil {
+			f.stop(c, o)
+		}
+	}
+}
+
+func (f *Fleet) stop(c *contact, o *order) {
+	if o.stopping {
+		return
+	}
+	o.stopping = true
+	o.attempts = 0
+	o.nextAt = f.now
+	f.advance(c, o)
+}
+
+// Pace asks that a run works at a share of its speed.
+func (f *Fleet) Pace(worker string, key pimjob.TaskKey, number, percent int, now time.Duration) {
+	f.now = now
+	if c := f.contacts[worker]; c != nil {
+		if o := c.orders[runID{key, number}]; o != nil && o.wantPace != percent {
+			o.wantPace = percent
+			f.advance(c, o)
+		}
+	}
+}
+
+// advance makes the next call for a run if one is due.
+func (f *Fleet) advance(c *contact, o *order) {
+	if o.inFlight || f.now < o.nextAt || o.state == settling {
+		return
+	}
+	if o.stopping {
+		o.attempts++
+		o.inFlight = true
+		f.calls = append(f.calls, StopRun{Target: c.target(), Token: f.term, Key: o.live.Key, Number: o.live.Run.Number})
+		return
+	}
+	switch o.state {
+	case starting:
+		f.orderStart(c, o)
+	case running:
+		if o.pace != o.wantPace {
+			o.inFlight = true
+			f.calls = append(f.calls, PaceRun{Target: c.target(), Token: f.term, Key: o.live.Key, Number: o.live.Run.Number, Percent: o.wantPace})
+		}
+	case inherited, settling:
+	}
+}
+
+func (f *Fleet) orderStart(c *contact, o *order) {
+	task, _, job := f.state.Task(o.live.Key)
+	if task == nil || job.State.IsEnded() {
+		f.stop(c, o)
+		return
+	}
+	if !c.hasClock {
+		o.nextAt = f.now + retryPause
+		return
+	}
+	o.attempts++
+	o.inFlight = true
+	f.calls = append(f.calls, StartRun{
+		Target: c.target(), Token: f.term, Key: o.live.Key, Number: o.live.Run.Number,
+		Spec: job.Submission.Spec, Saved: task.Saved, Deadline: f.deadline(c),
+	})
+}
+
+func (c *contact) target() Target {
+	return Target{ID: c.worker.ID, Born: c.worker.Born, Address: c.worker.Address}
+}
+
+// Tick lets time pass: renewals, repeated calls, leases that ran out.
+func (f *Fleet) Tick(now time.Duration) {
+	f.now = now
+	for _, id := range slices.Sorted(maps.Keys(f.contacts)) {
+		f.tickContact(f.contacts[id])
+	}
+}
+
+func (f *Fleet) tickContact(c *contact) {
+	if !c.holding && c.committing <= c.cursor && f.now >= c.holdAt {
+		f.hold(c)
+	}
+	for _, o := range c.orders {
+		if !o.inFlight && f.now >= o.nextAt {
+			f.advance(c, o)
+		}
+	}
+	if !c.reachable && !c.lapsed && f.now >= c.lapsesAt {
+		c.lapsed = true
+		if len(c.orders) > 0 {
+			f.note("lease ran out", c.worker.ID, runID{}, "")
+			f.ops = append(f.ops, pimjob.LoseRuns{ID: c.worker.ID, Born: c.worker.Born})
+		}
+	}
+}
+
+// hold renews the lease and asks for ends. A worker that did not answer the last renewal gets no new
+// lease with the question, so that the time at which it runs out does not move away.
+func (f *Fleet) hold(c *contact) {
+	call := Hold{Target: c.target(), Token: f.term, Cursor: c.cursor, SentAt: f.now}
+	if c.reachable {
+		call.Deadline = f.deadline(c)
+		call.Wait = f.policy.Wait
+	}
+	c.holding = true
+	f.calls = append(f.calls, call)
+}
+
+// Next returns when Tick has something to do.
+func (f *Fleet) Next() time.Duration {
+	next := f.now + time.Hour
+	for _, c := range f.contacts {
+		if !c.holding && c.committing <= c.cursor {
+			next = min(next, c.holdAt)
+		}
+		if !c.reachable && !c.lapsed {
+			next = min(next, c.lapsesAt)
+		}
+		for _, o := range c.orders {
+			if o.wantsCall() {
+				next = min(next, o.nextAt)
+			}
+		}
+	}
+	return next
+}
+
+func (o *order) wantsCall() bool {
+	if o.inFlight || o.state == settling {
+		return false
+	}
+	return o.stopping || o.state == starting || (o.state == running && o.pace != o.wantPace)
+}
+
+// View returns what a planner may know of a worker.
+func (f *Fleet) View(id string) WorkerView {
+	c := f.contacts[id]
+	if c == nil {
+		return WorkerView{}
+	}
+	view := WorkerView{Usable: c.reachable && c.hasClock, UnwellUntil: c.unwellTill, Rows: map[pimjob.TaskKey]RunView{}}
+	for run, o := range c.orders {
+		view.Rows[run.key] = RunView{Row: o.row, At: o.rowAt, Pace: o.wantPace, MovedAt: o.moved}
+	}
+	return view
+}
--- /dev/null
+++ b/internal/job/pimfleet/results.go
@@ -0,0 +1,286 @@
+package pimfleet
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+// OnResult takes in what came of a call.
+func (f *Fleet) OnResult(result Result, now time.Duration) {
+	f.now = now
+	target := TargetOf(result.Call)
+	c := f.contacts[target.ID]
+	if c == nil || c.worker.Born != target.Born {
+		return
+	}
+	if result.Outcome == OtherLife {
+		f.note("another life answers", c.worker.ID, runID{}, "")
+		f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
+		c.holding = false
+		c.reachable = false
+		c.holdAt = now + lostPause
+		return
+	}
+	switch call := result.Call.(type) {
+	case Hold:
+		f.onHold(c, call, result)
+	case StartRun:
+		if o := c.orders[runID{call.Key, call.Number}]; o != nil {
+			f.onStart(c, o, result)
+		}
+	case StopRun:
+		if o := c.orders[runID{call.Key, call.Number}]; o != nil {
+			f.onStop(c, o, result)
+		}
+	case PaceRun:
+		if o := c.orders[runID{call.Key, call.Number}]; o != nil {
+			f.onPace(c, o, call, result)
+		}
+	}
+}
+
+func (f *Fleet) onHold(c *contact, call Hold, result Result) {
+	c.holding = false
+	if result.Outcome != Carried {
+		f.onHoldFailed(c, result)
+		return
+	}
+	if result.Born != c.worker.Born {
+		f.note("another life answers", c.worker.ID, runID{}, "")
+		f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
+		c.holdAt = f.now + lostPause
+		return
+	}
+	c.setClock(result.Clock, f.now)
+	c.failures = 0
+	c.reachable = true
+	c.holdAt = f.now
+	listed := f.takeRunning(c, result.Running)
+	f.takeEnded(c, result.Ended, listed)
+	f.settle(c, call.SentAt, listed)
+	if c.committing <= c.cursor {
+		f.hold(c)
+	}
+}
+
+func (f *Fleet) onHoldFailed(c *contact, result Result) {
+	if result.Outcome == NotSent {
+		c.holdAt = f.now + retryPause
+		return
+	}
+	if c.reachable {
+		f.note("worker does not answer", c.worker.ID, runID{}, result.Outcome.String()+" "+result.Reason.String())
+	}
+	c.reachable = false
+	c.failures++
+	c.holdAt = f.now
+	if c.failures > 1 {
+		c.holdAt = f.now + farPause
+	}
+	if c.lapsed {
+		c.holdAt = f.now + lostPause
+	}
+}
+
+// takeRunning notes the rows of a list and stops runs that the log no longer holds.
+func (f *Fleet) takeRunning(c *contact, rows []Row) map[runID]bool {
+	listed := make(map[runID]bool, len(rows))
+	for _, row := range rows {
+		id := runID{row.Key, row.Number}
+		listed[id] = true
+		o := c.orders[id]
+		if o == nil {
+			f.note("unknown run is stopped", c.worker.ID, id, "")
+			f.calls = append(f.calls, StopRun{Target: c.target(), Token: f.term, Key: row.Key, Number: row.Number})
+			continue
+		}
+		f.takeRow(c, o, row)
+	}
+	return listed
+}
+
+func (f *Fleet) takeRow(c *contact, o *order, row Row) {
+	if o.rowAt == 0 || row.Percent != o.row.Percent || row.Saved != o.row.Saved {
+		o.moved = f.now
+	}
+	if row.Saved != "" && row.Saved != o.row.Saved {
+		if task, _, _ := f.state.Task(row.Key); task != nil && task.Saved != row.Saved {
+			f.ops = append(f.ops, pimjob.Save{Key: row.Key, Number: row.Number, Saved: row.Saved})
+		}
+	}
+	o.row, o.rowAt = row, f.now
+	if o.state == inherited || o.state == starting {
+		f.confirm(o)
+	}
+	if _, _, job := f.state.Task(row.Key); job == nil || (job.State.IsEnded() && job.State != pimjob.Completed) {
+		f.stop(c, o)
+	}
+}
+
+func (f *Fleet) confirm(o *order) {
+	o.state = running
+	o.unclear = false
+	o.confirmed = f.now
+}
+
+// takeEnded proposes the ends that the log does not hold; the cursor moves past the others.
+func (f *Fleet) takeEnded(c *contact, ends []Ended, listed map[runID]bool) {
+	for _, end := range ends {
+		if end.Sequence <= c.committing {
+			continue
+		}
+		c.committing = end.Sequence
+		id := runID{end.Key, end.Number}
+		listed[id] = true
+		if c.orders[id] == nil {
+			continue
+		}
+		f.ops = append(f.ops, pimjob.End{
+			Key: end.Key, Number: end.Number, Worker: c.worker.ID, Born: c.worker.Born, How: end.How, Saved: end.Saved,
+		})
+	}
+	if len(f.ops) == 0 {
+		c.cursor = c.committing
+	}
+}
+
+// settle ends the runs that a list should show and does not: those that the worker
+// said it will not start. A run that should be there is ordered again under its number,
+// which starts it or tells that it has ended.
+func (f *Fleet) settle(c *contact, sentAt time.Duration, listed map[runID]bool) {
+	for id, o := range c.orders {
+		if listed[id] || o.inFlight {
+			continue
+		}
+		switch {
+		case o.state == settling && o.settledAt < sentAt:
+			f.note("run will not start", c.worker.ID, id, "")
+			f.refuse(c, o)
+			o.settledAt = f.now
+		case o.state == inherited || (o.state == running && o.confirmed < sentAt):
+			o.state = starting
+			o.attempts = 0
+			o.unclear = true
+			o.nextAt = f.now
+			f.advance(c, o)
+		}
+	}
+}
+
+func (f *Fleet) refuse(c *contact, o *order) {
+	f.ops = append(f.ops, pimjob.End{
+		Key: o.live.Key, Number: o.live.Run.Number, Worker: c.worker.ID, Born: c.worker.Born, How: pimjob.EndRefused,
+	})
+}
+
+func (f *Fleet) onStart(c *contact, o *order, result Result) {
+	o.inFlight = false
+	if result.Clock > 0 {
+		c.setClock(result.Clock, f.now)
+	}
+	if o.state != starting {
+		f.advance(c, o)
+		return
+	}
+	switch result.Outcome {
+	case Carried:
+		f.confirm(o)
+		f.advance(c, o)
+	case Rejected, Unhealthy:
+		f.onRejected(c, o, result)
+	case Unclear, OtherLife:
+		o.unclear = true
+		o.nextAt = f.now + retryPause
+		if o.attempts >= startAttempts {
+			f.note("start unanswered", c.worker.ID, runID{o.live.Key, o.live.Run.Number}, "")
+			f.stop(c, o)
+		}
+	case NotSent:
+		o.nextAt = f.now + retryPause
+	}
+}
+
+func (f *Fleet) onRejected(c *contact, o *order, result Result) {
+	id := runID{o.live.Key, o.live.Run.Number}
+	f.note("start rejected", c.worker.ID, id, result.Outcome.String()+" "+result.Reason.String())
+	if result.Reason == ReasonFence {
+		o.unclear = true
+		o.nextAt = f.now + lostPause
+		return
+	}
+	if result.Outcome == Unhealthy || result.Reason == ReasonRoom {
+		c.unwellTill = f.now + unwellPause
+	}
+	switch {
+	case result.Reason == ReasonOld:
+		o.state = settling
+		o.settledAt = f.now
+	case o.unclear:
+		f.stop(c, o)
+	default:
+		o.state = settling
+		o.settledAt = f.now
+		f.refuse(c, o)
+	}
+}
+
+func (f *Fleet) onStop(c *contact, o *order, result Result) {
+	o.inFlight = false
+	switch result.Outcome {
+	case Carried:
+		if o.state != running {
+			o.state = settling
+			o.settledAt = f.now
+			return
+		}
+		o.nextAt = f.now + f.policy.StopTimeout + retryPause
+		o.state = settling
+		o.settledAt = f.now
+	default:
+		o.nextAt = f.now + min(lostPause, retryPause*time.Duration(o.attempts))
+	}
+}
+
+func (f *Fleet) onPace(c *contact, o *order, call PaceRun, result Result) {
+	o.inFlight = false
+	if result.Outcome == Carried {
+		o.pace = call.Percent
+	} else {
+		o.nextAt = f.now + retryPause
+	}
+	f.advance(c, o)
+}
+
+// OnCommitted tells that all operations that were taken before are in the log, so that
+// the ends among them may be acknowledged.
+func (f *Fleet) OnCommitted(marks map[string]Mark, now time.Duration) {
+	f.now = now
+	for id, mark := range marks {
+		c := f.contacts[id]
+		if c == nil || c.worker.Born != mark.Born || mark.Sequence <= c.cursor {
+			continue
+		}
+		c.cursor = mark.Sequence
+		if !c.holding && c.committing <= c.cursor {
+			f.hold(c)
+		}
+	}
+}
+
+// Mark is the highest end of a life of a worker that a proposal holds.
+type Mark struct {
+	Born     int64
+	Sequence int64
+}
+
+// Marks returns what is on its way into the log with the operations taken now.
+func (f *Fleet) Marks() map[string]Mark {
+	marks := map[string]Mark{}
+	for id, c := range f.contacts {
+		if c.committing > c.cursor {
+			marks[id] = Mark{Born: c.worker.Born, Sequence: c.committing}
+		}
+	}
+	return marks
+}
--- /dev/null
+++ b/internal/job/pimfleet/types.go
@@ -0,0 +1,210 @@
+// Package pimfleet follows the workers on behalf of the leader of the jobs: it keeps
+// their leases, orders and stops runs, takes in their ends, and finds lives that are
+// over. It is a plain state machine: results and the time go in, calls to workers and
+// operations for the log come out. It opens no connection and reads no clock.
+//
+// A run is committed to the log before it is ordered, so a new leader knows every run
+// that may exist. A run leaves the log only when its worker listed its end, said that
+// it did not and will not start it, began a new life, or when its lease surely ran out.
+package pimfleet
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+type (
+	// Policy holds the limits of a fleet.
+	Policy struct {
+		// Lease is how long a worker's runs live after it was last renewed.
+		Lease time.Duration
+		// StopTimeout is the most that a worker takes to stop a run.
+		StopTimeout time.Duration
+		// Wait is the most that a worker holds back the answer of a renewal for an end.
+		Wait time.Duration
+	}
+
+	// Outcome tells what came of a call.
+	Outcome uint8
+
+	// Reason tells why a worker rejected a start.
+	Reason uint8
+
+	// Target is the life of a worker that a call is meant for.
+	Target struct {
+		ID      string
+		Born    int64
+		Address string
+	}
+
+	// Call is something to ask of a worker.
+	Call interface{ isCall() }
+
+	// Hold renews the lease until Deadline on the worker's clock, unless that is 0,
+	// acknowledges ends up to Cursor and asks for the lists of runs.
+	Hold struct {
+		Target   Target
+		Token    uint64
+		Cursor   int64
+		Deadline time.Duration
+		Wait     time.Duration
+		SentAt   time.Duration
+	}
+
+	// StartRun orders a run.
+	StartRun struct {
+		Target   Target
+		Token    uint64
+		Key      pimjob.TaskKey
+		Number   int
+		Spec     string
+		Saved    string
+		Ticket   string
+		Deadline time.Duration
+	}
+
+	// StopRun orders a run to stop, which also keeps it from starting later.
+	StopRun struct {
+		Target Target
+		Token  uint64
+		Key    pimjob.TaskKey
+		Number int
+	}
+
+	// PaceRun lets a run work at a share of its speed.
+	PaceRun struct {
+		Target  Target
+		Token   uint64
+		Key     pimjob.TaskKey
+		Number  int
+		Percent int
+	}
+
+	// Row is a run that a worker lists. Gauge is its tail latency in milliseconds for a
+	// task that serves, and its processor time in thousandths of a core for any other.
+	Row struct {
+		Key     pimjob.TaskKey
+		Number  int
+		Saved   string
+		Percent int
+		Gauge   float64
+	}
+
+	// Ended is an end that a worker lists. Sequence rises by one in each life.
+	Ended struct {
+		Sequence int64
+		Key      pimjob.TaskKey
+		Number   int
+		How      pimjob.EndKind
+		Saved    string
+	}
+
+	// Result is what came of a call. Clock is the worker's clock, where it answered.
+	Result struct {
+		Call    Call
+		Outcome Outcome
+		Reason  Reason
+		Clock   time.Duration
+		// Born is the life that answered a Hold.
+		Born    int64
+		Running []Row
+		Ended   []Ended
+	}
+
+	// runID names a run.
+	runID struct {
+		key    pimjob.TaskKey
+		number int
+	}
+
+	// order is what the leader knows of a run on a worker.
+	order struct {
+		live  pimjob.LiveRun
+		state orderState
+		// attempts counts calls of the present state; unclear tells that a start may
+		// still be carried out later.
+		attempts int
+		unclear  bool
+		inFlight bool
+		nextAt   time.Duration
+		// settledAt is when the worker said that it will not start the run.
+		settledAt time.Duration
+		confirmed time.Duration
+		stopping  bool
+		row       Row
+		rowAt     time.Duration
+		moved     time.Duration
+		pace      int
+		wantPace  int
+	}
+
+	orderState uint8
+)
+
+// Outcomes of a call.
+const (
+	// Unclear means that the call may or may not have been, or may yet be, carried out.
+	Unclear Outcome = iota
+	Carried
+	Rejected
+	// Unhealthy means that the worker did nothing and says that it is not well.
+	Unhealthy
+	// OtherLife means that another life of the worker answered.
+	OtherLife
+	// NotSent means that the call did not leave this daemon.
+	NotSent
+)
+
+// Reasons of a rejected start.
+const (
+	ReasonNone Reason = iota
+	// ReasonFence means that the worker follows a later leader.
+	ReasonFence
+	// ReasonOld means that this or a later run has ended or was stopped there.
+	ReasonOld
+	// ReasonLate means that the order's deadline has passed.
+	ReasonLate
+	ReasonRoom
+	ReasonTicket
+	ReasonInvalid
+)
+
+const (
+	// inherited is a run of an earlier leader, before the worker's first list.
+	inherited orderState = iota
+	starting
+	running
+	// settling is a run that the worker will not start or has ended; its next list shows.
+	settling
+)
+
+func (Hold) isCall()     {}
+func (StartRun) isCall() {}
+func (StopRun) isCall()  {}
+func (PaceRun) isCall()  {}
+
+// TargetOf returns the worker that a call is meant for.
+func TargetOf(call Call) Target {
+	switch call := call.(type) {
+	case Hold:
+		return call.Target
+	case StartRun:
+		return call.Target
+	case StopRun:
+		return call.Target
+	case PaceRun:
+		return call.Target
+	}
+	return Target{}
+}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"unclear", "carried", "rejected", "unhealthy", "other-life", "not-sent"}[o]
+}
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"", "fence", "old", "late", "room", "ticket", "invalid"}[r]
+}
--- /dev/null
+++ b/internal/job/pimjob/apply.go
@@ -0,0 +1,271 @@
+package pimjob
+
+import (
+	"slices"
+	"strings"
+)
+
+// Apply carries out the operations of a batch whose leader's time was at.
+func (s *State) Apply(at int64, ops []Op) []Change {
+	s.tables.Now = max(s.tables.Now, at)
+	var changes []Change
+	for _, op := range ops {
+		changes = append(changes, s.apply(op)...)
+	}
+	s.forgetEnded()
+	return changes
+}
+
+func (s *State) apply(op Op) []Change {
+	switch op := op.(type) {
+	case Submit:
+		s.submit(op)
+		return nil
+	case Cancel:
+		return s.cancel(op)
+	case Start:
+		return s.start(op)
+	case End:
+		return s.end(op)
+	case Save:
+		return s.save(op)
+	case PutWorker:
+		return s.putWorker(op.Worker)
+	case DropWorker:
+		return s.dropWorker(op)
+	case LoseRuns:
+		if worker := s.tables.Workers[op.ID]; worker == nil || worker.Born != op.Born {
+			return nil
+		}
+		return s.loseRuns(op.ID, op.Born, EndLapsed)
+	case PutConfig:
+		if op.Config.Version <= s.tables.Config.Version {
+			return nil
+		}
+		s.tables.Config = op.Config
+		return []Change{ConfigChanged{}}
+	case MarkDomain:
+		if op.Out {
+			s.tables.Out[op.Domain] = true
+		} else {
+			delete(s.tables.Out, op.Domain)
+		}
+		return []Change{ConfigChanged{}}
+	}
+	return nil
+}
+
+func (s *State) submit(op Submit) {
+	if s.tables.Jobs[op.Submission.ID] != nil {
+		return
+	}
+	job := &Job{Submission: op.Submission, Queue: op.Queue, AcceptedAt: s.tables.Now}
+	for range max(1, op.Submission.Repeat) {
+		occurrence := Occurrence{Open: len(op.Submission.Steps)}
+		for _, step := range op.Submission.Steps {
+			occurrence.Steps = append(occurrence.Steps, StepState{Tasks: make([]Task, step.Count), Open: step.Count})
+		}
+		job.Occurrences = append(job.Occurrences, occurrence)
+	}
+	job.Open = len(job.Occurrences)
+	s.tables.Jobs[op.Submission.ID] = job
+	s.open[op.Submission.ID] = job
+}
+
+func (s *State) cancel(op Cancel) []Change {
+	job := s.tables.Jobs[op.ID]
+	if job == nil || job.State.IsEnded() {
+		return nil
+	}
+	return s.endJob(job, Cancelled)
+}
+
+func (s *State) endJob(job *Job, state JobState) []Change {
+	job.State = state
+	job.EndedAt = s.tables.Now
+	delete(s.open, job.Submission.ID)
+	return []Change{JobEnded{job}}
+}
+
+func (s *State) start(op Start) []Change {
+	task, _, job := s.Task(op.Key)
+	worker := s.tables.Workers[op.Worker]
+	if task == nil || job.State.IsEnded() || task.Done || task.Run != nil || op.Number <= task.Last {
+		return nil
+	}
+	if worker == nil || worker.Born != op.Born || worker.Draining || s.tables.Out[worker.Domain] {
+		return nil
+	}
+	task.Last = op.Number
+	task.Run = &Run{Number: op.Number, Worker: op.Worker, Born: op.Born, StartedAt: s.tables.Now}
+	if job.State == Queued {
+		job.State = Running
+	}
+	job.Started = true
+	live := LiveRun{op.Key, *task.Run}
+	s.addLive(live)
+	return []Change{RunStarted{live}}
+}
+
+func (s *State) save(op Save) []Change {
+	task, _, _ := s.Task(op.Key)
+	if task != nil && task.Run != nil && task.Run.Number == op.Number {
+		task.Saved = op.Saved
+	}
+	return nil
+}
+
+func (s *State) end(op End) []Change {
+	if !s.IsLive(op.Key, op.Number, op.Worker, op.Born) {
+		return nil
+	}
+	task, step, job := s.Task(op.Key)
+	live := LiveRun{op.Key, *task.Run}
+	task.Run = nil
+	task.EndedAt = s.tables.Now
+	delete(s.live[op.Worker], op.Key)
+	if op.Saved != "" {
+		task.Saved = op.Saved
+	}
+	changes := []Change{RunEnded{Live: live, How: op.How}}
+	if job.State.IsEnded() {
+		return changes
+	}
+	switch {
+	case op.How == EndDone && !step.Lasting:
+		changes = append(changes, s.finishTask(job, op.Key)...)
+	case op.How == EndFailed && !step.Lasting:
+		changes = append(changes, s.countFailure(job, op.Key, op.Number)...)
+	}
+	return changes
+}
+
+// finishTask marks a task done, and with a gang's member all of the gang.
+func (s *State) finishTask(job *Job, key TaskKey) []Change {
+	occurrence := &job.Occurrences[key.Occurrence]
+	step := &occurrence.Steps[key.Step]
+	if step.Tasks[key.Index].Done {
+		return nil
+	}
+	if job.Submission.Steps[key.Step].Gang {
+		for i := range step.Tasks {
+			step.Tasks[i].Done = true
+		}
+		step.Open = 0
+	} else {
+		step.Tasks[key.Index].Done = true
+		step.Open--
+	}
+	if step.Open > 0 {
+		return nil
+	}
+	if occurrence.Open--; occurrence.Open > 0 {
+		return nil
+	}
+	if job.Open--; job.Open > 0 {
+		return nil
+	}
+	return s.endJob(job, Completed)
+}
+
+// countFailure counts a failed run. A gang's failures are counted at its first task, one for each run.
+func (s *State) countFailure(job *Job, key TaskKey, number int) []Change {
+	tasks := job.Occurrences[key.Occurrence].Steps[key.Step].Tasks
+	task := &tasks[key.Index]
+	if job.Submission.Steps[key.Step].Gang {
+		task = &tasks[0]
+	}
+	if task.FailedRun == number {
+		return nil
+	}
+	task.FailedRun = number
+	task.Failures++
+	if task.Failures < job.Queue.Attempts {
+		return nil
+	}
+	return s.endJob(job, Failed)
+}
+
+func (s *State) putWorker(worker Worker) []Change {
+	if s.HasDeparted(worker.ID, worker.Born) {
+		return nil
+	}
+	known := s.tables.Workers[worker.ID]
+	if known != nil && worker.Born < known.Born {
+		return nil
+	}
+	var changes []Change
+	if known != nil && known.Born < worker.Born {
+		changes = s.loseRuns(worker.ID, known.Born, EndLost)
+	}
+	if known != nil && known.Born == worker.Born && known.Draining {
+		worker.Draining = true
+	}
+	s.tables.Workers[worker.ID] = &worker
+	return append(changes, WorkerChanged{Worker: worker})
+}
+
+func (s *State) dropWorker(op DropWorker) []Change {
+	if s.HasDeparted(op.ID, op.Born) {
+		return nil
+	}
+	s.tables.Departed[op.ID] = op.Born
+	worker := s.tables.Workers[op.ID]
+	if worker == nil || worker.Born > op.Born {
+		return nil
+	}
+	changes := s.loseRuns(op.ID, worker.Born, EndLost)
+	delete(s.tables.Workers, op.ID)
+	return append(changes, WorkerChanged{Worker: *worker, Gone: true})
+}
+
+func (s *State) loseRuns(worker string, born int64, how EndKind) []Change {
+	var runs []LiveRun
+	for _, live := range s.live[worker] {
+		if live.Run.Born == born {
+			runs = append(runs, live)
+		}
+	}
+	slices.SortFunc(runs, func(a, b LiveRun) int { return CompareKeys(a.Key, b.Key) })
+	var changes []Change
+	for _, live := range runs {
+		changes = append(changes, s.end(End{Key: live.Key, Number: live.Run.Number, Worker: worker, Born: born, How: how})...)
+	}
+	return changes
+}
+
+// CompareKeys orders tasks by job, occurrence, step and index.
+func CompareKeys(a, b TaskKey) int {
+	if order := strings.Compare(a.Job, b.Job); order != 0 {
+		return order
+	}
+	if a.Occurrence != b.Occurrence {
+		return a.Occurrence - b.Occurrence
+	}
+	if a.Step != b.Step {
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
+
+// forgetEnded drops jobs whose end lies JobKeep back and that have no live run.
+func (s *State) forgetEnded() {
+	if s.tables.Now < s.tables.ForgetAt {
+		return
+	}
+	s.tables.ForgetAt = s.tables.Now + forgetEvery.Milliseconds()
+	for id, job := range s.tables.Jobs {
+		if !job.State.IsEnded() || s.tables.Now-job.EndedAt < JobKeep.Milliseconds() {
+			continue
+		}
+		if !job.hasLiveRun() {
+			delete(s.tables.Jobs, id)
+		}
+	}
+}
+
+func (j *Job) hasLiveRun() bool {
+	found := false
+	j.eachTask(func(_ TaskKey, task *Task) { found = found || task.Run != nil })
+	return found
+}
--- a/internal/measure/pimdemo/cluster.go
+++ b/internal/measure/pimdemo/cluster.go
@@ -9,8 +9,8 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/node/pimcore"
 	"github.com/pimentoswitch/pimentoswitch/internal/place/pimplace"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimendpoint"
--- a/internal/measure/pimload/load.go
+++ b/internal/measure/pimload/load.go
@@ -15,8 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alitto/pond/v2"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimrequest"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
 )
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -65,6 +65,21 @@
 		Body   []byte       `msgpack:"b,omitempty"`
 	}
 
+	// Hello asks a control daemon who leads the jobs. Control is set by a daemon that
+	// has a disk and wants to be a member.
+	Hello struct {
+		Control bool `msgpack:"c,omitempty"`
+	}
+
+	// Directory answers a Hello. Leader is the member that leads as far as the sender
+	// knows; Leading is set by the leader itself while a majority follows it.
+	Directory struct {
+		Leader  string   `msgpack:"l"`
+		Term    uint64   `msgpack:"t"`
+		Members []string `msgpack:"m"`
+		Leading bool     `msgpack:"g,omitempty"`
+	}
+
 	// LedgerQuery is sent by a new leader of a domain group: the receiver tells which
 	// credits it holds and refuses grants of earlier terms from then on.
 	LedgerQuery struct {
@@ -187,6 +202,8 @@
 func (Gossip) isPeer()      {}
 func (CallRequest) isPeer() {}
 func (CallReply) isPeer()   {}
+func (Hello) isPeer()       {}
+func (Directory) isPeer()   {}
 func (LedgerQuery) isPeer() {}
 func (LedgerReply) isPeer() {}
 
@@ -218,6 +235,8 @@
 	{Name: "gossip", Zero: Gossip{}},
 	{Name: "call", Zero: CallRequest{}},
 	{Name: "reply", Zero: CallReply{}},
+	{Name: "hello", Zero: Hello{}},
+	{Name: "directory", Zero: Directory{}},
 	{Name: "ledger-query", Zero: LedgerQuery{}},
 	{Name: "ledger-reply", Zero: LedgerReply{}},
 
--- a/internal/standin/pimendpoint/endpoint.go
+++ b/internal/standin/pimendpoint/endpoint.go
@@ -17,8 +17,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/entry/pimdaemon"
 	"github.com/pimentoswitch/pimentoswitch/internal/route/pimslot"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimplatform"
 	"github.com/pimentoswitch/pimentoswitch/internal/standin/pimwitness"
