--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -24,6 +24,7 @@
 		// failedOn holds the workers on which a task failed.
 		failedOn map[pimjob.TaskKey][]string
 		paces    map[string]*paceState
+		harms    *harmModel
 	}
 
 	// Input is what a plan is made from. Now is steady, WallClock in milliseconds since 1970.
@@ -70,6 +71,9 @@
 		filling int64
 		fillers int
 		steps   map[stepKey]int
+		images  map[string]int
+		// servers are the serving tasks with their tails; planned fillers raise them.
+		servers []server
 	}
 
 	stepKey struct {
@@ -90,7 +94,7 @@
 
 // NewPlanner returns a planner that has learned nothing.
 func NewPlanner() *Planner {
-	return &Planner{records: map[string]*record{}, failedOn: map[pimjob.TaskKey][]string{}, paces: map[string]*paceState{}}
+	return &Planner{records: map[string]*record{}, failedOn: map[pimjob.TaskKey][]string{}, paces: map[string]*paceState{}, harms: newHarmModel()}
 }
 
 // Plan decides what to start, stop and pace now.
@@ -108,11 +112,12 @@
 func (p *Planner) buildHosts(in Input) []*host {
 	var hosts []*host
 	for _, worker := range in.State.Workers() {
-		h := &host{worker: worker, view: in.Workers.View(worker.ID), record: p.recordOf(worker.ID), free: worker.Capacity, steps: map[stepKey]int{}}
+		h := &host{worker: worker, view: in.Workers.View(worker.ID), record: p.recordOf(worker.ID), free: worker.Capacity, steps: map[stepKey]int{}, images: map[string]int{}}
 		for key := range in.State.RunsOn(worker.ID) {
 			_, step, _ := in.State.Task(key)
 			h.add(key, step)
 		}
+		h.servers, _ = h.listSharers(in)
 		hosts = append(hosts, h)
 	}
 	return hosts
@@ -127,6 +132,7 @@
 		h.fillers++
 	case step.Target > 0:
 		h.serving += step.Need.Millicores
+		h.images[step.Image]++
 	default:
 		h.busy += step.Need.Millicores
 	}
@@ -208,6 +214,9 @@
 			return
 		}
 		best.add(key, step)
+		if step.Fills {
+			best.disturb(p.harms, step)
+		}
 		plan.Starts = append(plan.Starts, pimjob.Start{Key: key, Number: state.Tasks[index].Last + 1, Worker: best.worker.ID, Born: best.worker.Born})
 	}
 }
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -32,6 +32,12 @@
 	// down by the platform's remote factor.
 	affinityBonus = 10.0
 	failedPenalty = 5.0
+	// fillGoal is the share of a serving task's target that a new filling task may bring it to.
+	fillGoal = 0.8
+	// sameImageBonus and otherImageMalus bring serving tasks of one image together, so
+	// that some hosts carry only images that bear what fills beside them.
+	sameImageBonus  = 0.2
+	otherImageMalus = 0.3
 )
 
 func (p *Planner) recordOf(worker string) *record {
@@ -62,11 +68,16 @@
 		if idle < minFillShare*float64(step.Need.Millicores) {
 			return 0, false
 		}
-		score += (idle - float64(step.Need.Millicores)) / capacity
-		score -= float64(h.serving) / capacity
+		worst := h.worstWith(p.harms, step)
+		if worst > fillGoal {
+			return 0, false
+		}
+		score += (idle-float64(step.Need.Millicores))/capacity - worst
+	case step.Target > 0:
+		score += sameImageBonus*float64(h.images[step.Image]) - otherImageMalus*float64(h.otherImages(step.Image))
+		score -= float64(h.filling) / capacity
 	case step.Lasting:
 		score += 1 - float64(h.free.Millicores)/capacity
-		score -= float64(h.filling) / capacity
 	default:
 		score += float64(h.free.Millicores) / capacity
 	}
@@ -103,3 +114,30 @@
 		}
 	}
 }
+
+// worstWith returns the highest tail, as a share of its target, that a serving task of
+// the host is expected to have once a filling task works beside it.
+func (h *host) worstWith(harms *harmModel, step *pimjob.Step) float64 {
+	worst := 0.0
+	for _, s := range h.servers {
+		worst = max(worst, s.share+harms.harm(s.image, step.Image)*float64(step.Need.Millicores)/millisPerCore)
+	}
+	return worst
+}
+
+// disturb raises the tails of the host's serving tasks by what a planned filling task adds.
+func (h *host) disturb(harms *harmModel, step *pimjob.Step) {
+	for i := range h.servers {
+		h.servers[i].share += harms.harm(h.servers[i].image, step.Image) * float64(step.Need.Millicores) / millisPerCore
+	}
+}
+
+func (h *host) otherImages(image string) int {
+	count := 0
+	for other, n := range h.images {
+		if other != image {
+			count += n
+		}
+	}
+	return count
+}
