A control daemon whose disk fails reads it anew instead of ending

Change: after a failed write the replica, the state and the store are read anew in the same process, as after a restart; until that works the daemon takes no part in the group and answers asks with not-leader.

--- a/internal/job/pimcontrol/asks.go
+++ b/internal/job/pimcontrol/asks.go
@@ -15,14 +15,7 @@
 
 // onAsk answers an ask of a daemon, at once or later.
 func (c *Control) onAsk(from string, request pimmessage.CallRequest) {
-	respond := func(answer pimask.Answer) {
-		body, err := pimask.Encode(answer)
-		if err != nil {
-			c.logger.Error().Err(err).Msg("answer can't be encoded")
-			return
-		}
-		c.Send(pimforward.AddressOf(from), from, pimmessage.CallReply{ID: request.ID, Body: body})
-	}
+	respond := c.respondTo(from, request.ID)
 	ask, err := pimask.DecodeAsk(request.Body)
 	if err != nil {
 		respond(pimask.Refused{Code: pimcode.UnknownMessage, Detail: err.Error()})
@@ -58,6 +51,18 @@
 	}
 }
 
+// respondTo returns the reply to a daemon's ask.
+func (c *Control) respondTo(from string, id uint64) reply {
+	return func(answer pimask.Answer) {
+		body, err := pimask.Encode(answer)
+		if err != nil {
+			c.logger.Error().Err(err).Msg("answer can't be encoded")
+			return
+		}
+		c.Send(pimforward.AddressOf(from), from, pimmessage.CallReply{ID: id, Body: body})
+	}
+}
+
 // read answers from the state once this leadership is confirmed.
 func (l *lead) read(c *Control, respond reply, answer func() pimask.Answer) {
 	l.reads = append(l.reads, read{at: c.now, answer: answer, reply: respond})
--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -18,6 +18,7 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimmetric"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimask"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
@@ -53,6 +54,9 @@
 		metrics  *pimmetric.Metrics
 		workers  Workers
 		id       string
+		voters   []string
+		// generation counts how often the disk was opened.
+		generation int
 
 		transport pimforward.Sender
 		forwarder *pimforward.Forwarder
@@ -64,7 +68,6 @@
 		replica *pimconsensus.Replica
 		state   *pimjob.State
 		now     time.Duration
-		peers   map[string]time.Duration
 		helloAt time.Duration
 
 		logBytes  int
@@ -82,8 +85,9 @@
 	}
 
 	persistedEvent struct {
-		batch diskBatch
-		err   error
+		generation int
+		batch      diskBatch
+		err        error
 	}
 
 	resultEvent struct{ result pimfleet.Result }
@@ -111,7 +115,9 @@
 	compactEntries = 2000
 	compactBytes   = 4 << 20
 	handoverWait   = time.Second
-	logFolder      = "jobs"
+	// reopenPause is the time between tries to read a disk that failed.
+	reopenPause = 300 * time.Millisecond
+	logFolder   = "jobs"
 )
 
 // New opens the data folder. SetTransport comes before Run.
@@ -120,32 +126,40 @@
 	if err != nil {
 		return nil, err
 	}
-	store, saved, err := pimlog.Open(filepath.Join(settings.DataDir, logFolder), pimlog.OpenSegment)
-	if err != nil {
-		return nil, err
-	}
-	if saved.Snapshot.Index == 0 && len(identity.Voters) > 0 {
-		saved.Snapshot = pimconsensus.Founding(identity.Voters)
-		if err := store.SaveSnapshot(saved.Snapshot); err != nil {
-			return nil, err
-		}
-	}
 	c := &Control{
-		settings: settings, logger: logger, metrics: metrics, workers: workers, id: identity.ID,
+		settings: settings, logger: logger, metrics: metrics, workers: workers, id: identity.ID, voters: identity.Voters,
 		events:   make(chan event, eventQueue),
 		orders:   pond.NewPool(maxOrders, pond.WithQueueSize(orderQueue), pond.WithNonBlocking(true)),
 		renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(orderQueue), pond.WithNonBlocking(true)),
-		now:      pimclock.Now(),
-		peers:    map[string]time.Duration{},
 	}
-	c.disk = &disk{store: store, work: make(chan diskBatch, 1)}
+	return c, c.open()
+}
+
+// open reads the log and makes the replica and the state from it.
+func (c *Control) open() error {
+	store, saved, err := pimlog.Open(filepath.Join(c.settings.DataDir, logFolder), pimlog.OpenSegment)
+	if err != nil {
+		return err
+	}
+	if saved.Snapshot.Index == 0 && len(c.voters) > 0 {
+		saved.Snapshot = pimconsensus.Founding(c.voters)
+		if err := store.SaveSnapshot(saved.Snapshot); err != nil {
+			store.Close()
+			return err
+		}
+	}
 	if c.state, err = pimjob.Restore(saved.Snapshot.Data); err != nil {
-		return nil, err
+		store.Close()
+		return err
 	}
+	c.generation++
+	c.disk = &disk{store: store, work: make(chan diskBatch, 1), generation: c.generation}
+	c.now = pimclock.Now()
+	c.logBytes = 0
 	c.replica = pimconsensus.NewReplica(pimconsensus.Config{ID: c.id, Boot: rand.Uint64(), Seed: rand.Uint64()}, saved, c.now)
-	logger.Info().Str("id", c.id).Strs("voters", c.replica.Members().Voters).Uint64("last", c.replica.LastIndex()).
+	c.logger.Info().Str("id", c.id).Strs("voters", c.replica.Members().Voters).Uint64("last", c.replica.LastIndex()).
 		Int("jobs", len(c.state.OpenJobs())).Msg("state is loaded")
-	return c, nil
+	return nil
 }
 
 // ID returns the daemon's member id: its peer address and the life of its disk.
@@ -190,18 +204,61 @@
 	c.events <- stopEvent{}
 }
 
-// Run runs the daemon until the context ends or the disk fails.
+// Run runs the daemon until the context ends. After a failed write what the disk holds
+// is not known, so the daemon forgets what it knew and reads the disk anew, as if it
+// had been started again; meanwhile it takes no part in the group.
 func (c *Control) Run(ctx context.Context) error {
+	defer c.orders.Stop()
+	defer c.renewals.Stop()
+	for {
+		err := c.runWithDisk(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.logger.Error().Err(err).Msg("disk failed")
+		if c.lead != nil {
+			c.lead.abandon()
+			c.lead = nil
+		}
+		for c.wait(ctx, reopenPause) {
+			if err := c.open(); err == nil {
+				break
+			}
+			c.logger.Warn().Err(err).Msg("disk can't be read yet")
+		}
+	}
+}
+
+func (c *Control) runWithDisk(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	written := pimroutine.Start(ctx, func(ctx context.Context) error { return c.disk.run(ctx, c.events) })
 	err := c.loop(ctx)
 	cancel()
 	<-written
-	c.orders.Stop()
-	c.renewals.Stop()
 	return err
 }
 
+// wait drops what comes in for a while, and tells those that ask that this daemon doesn't lead.
+func (c *Control) wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case e := <-c.events:
+			if peer, ok := e.(peerEvent); ok {
+				if request, ok := peer.message.(pimmessage.CallRequest); ok {
+					c.respondTo(peer.from, request.ID)(pimask.NotLeader{})
+				}
+			}
+		}
+	}
+}
+
 func (c *Control) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -383,8 +440,10 @@
 }
 
 func (c *Control) onPersisted(e persistedEvent) error {
+	if e.generation != c.disk.generation {
+		return nil
+	}
 	if e.err != nil {
-		c.logger.Error().Err(e.err).Msg("disk failed")
 		return e.err
 	}
 	c.disk.busy = false
--- a/internal/job/pimcontrol/disk.go
+++ b/internal/job/pimcontrol/disk.go
@@ -14,6 +14,8 @@
 		work    chan diskBatch
 		busy    bool
 		pending diskBatch
+		// generation tells the events of this disk from those of one that failed.
+		generation int
 	}
 
 	// diskBatch is what is made durable, in order, before messages may go out.
@@ -89,7 +91,7 @@
 		case batch := <-d.work:
 			err := d.write(batch)
 			select {
-			case events <- persistedEvent{batch, err}:
+			case events <- persistedEvent{d.generation, batch, err}:
 			case <-ctx.Done():
 				return nil
 			}
