Tests of the job state machine and of the fleet under lost, late and overtaking calls

60 seeds of a fleet against fake workers that follow the published rules: nothing runs twice, all jobs end.

--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -1,6 +1,7 @@
 package pimfleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -213,13 +214,27 @@
 		return
 	}
 	id := job.Submission.ID
-	for _, c := range f.contacts {
-		for run, o := range c.orders {
-			if run.key.Job == id {
-				f.stop(c, o)
-			}
+	for _, worker := range slices.Sorted(maps.Keys(f.contacts)) {
+		c := f.contacts[worker]
+		for _, o := range c.sorted(func(o *order) bool { return o.live.Key.Job == id }) {
+			f.stop(c, o)
+		}
+	}
+}
+
+// sorted returns the orders that match, in the order of their tasks, so that the same
+// input gives the same calls.
+func (c *contact) sorted(match func(o *order) bool) []*order {
+	var orders []*order
+	for _, o := range c.orders {
+		if match(o) {
+			orders = append(orders, o)
 		}
 	}
+	slices.SortFunc(orders, func(a, b *order) int {
+		return cmp.Or(pimjob.CompareKeys(a.live.Key, b.live.Key), cmp.Compare(a.live.Run.Number, b.live.Run.Number))
+	})
+	return orders
 }
 
 // Stop stops a run, for a planner that wants its room or its place.
@@ -310,10 +325,8 @@
 	if !c.holding && c.committing <= c.cursor && f.now >= c.holdAt {
 		f.hold(c)
 	}
-	for _, o := range c.orders {
-		if !o.inFlight && f.now >= o.nextAt {
-			f.advance(c, o)
-		}
+	for _, o := range c.sorted(func(o *order) bool { return o.wantsCall() && f.now >= o.nextAt }) {
+		f.advance(c, o)
 	}
 	if !c.reachable && !c.lapsed && f.now >= c.lapsesAt {
 		c.lapsed = true
--- /dev/null
+++ b/internal/job/pimfleet/fleet_test.go
@@ -0,0 +1,110 @@
+package pimfleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+func (w *world) assertCompleted(ids ...string) {
+	w.t.Helper()
+	for _, id := range ids {
+		assert.Equal(w.t, w.state.Job(id).State, pimjob.Completed, "job %s", id)
+	}
+}
+
+func TestFleet(t *testing.T) {
+	t.Run("a job is carried out", func(t *testing.T) {
+		w := newWorld(t, 1, "w1", "w2")
+		w.submit("a", 20)
+		w.run(8 * time.Second)
+		w.assertCompleted("a")
+	})
+	t.Run("a run on a worker that is cut off starts elsewhere only when its lease is over", func(t *testing.T) {
+		w := newWorld(t, 2, "w1", "w2")
+		w.run(time.Second)
+		w.submit("a", 6)
+		w.run(100 * time.Millisecond)
+		w.workers["w1"].cut = true
+		w.run(2 * testLease)
+		w.assertCompleted("a")
+	})
+	t.Run("a worker that comes back in time keeps its runs", func(t *testing.T) {
+		w := newWorld(t, 3, "w1")
+		w.run(time.Second)
+		w.submit("a", 6)
+		w.run(100 * time.Millisecond)
+		w.workers["w1"].cut = true
+		w.run(4 * time.Second)
+		w.workers["w1"].cut = false
+		w.run(3 * time.Second)
+		assert.Assert(t, w.starts < 9, "%d starts", w.starts)
+	})
+	t.Run("a new life loses the runs at once", func(t *testing.T) {
+		w := newWorld(t, 4, "w1", "w2")
+		w.run(time.Second)
+		w.submit("a", 6)
+		w.run(50 * time.Millisecond)
+		w.workers["w1"].reset(2, w.now)
+		w.run(5 * time.Second)
+		w.assertCompleted("a")
+	})
+	t.Run("a new leader neither loses nor doubles runs", func(t *testing.T) {
+		w := newWorld(t, 5, "w1", "w2")
+		w.submit("a", 30)
+		for range 8 {
+			w.run(400 * time.Millisecond)
+			w.elect()
+		}
+		w.run(8 * time.Second)
+		w.assertCompleted("a")
+	})
+	t.Run("runs of a cancelled job are stopped", func(t *testing.T) {
+		w := newWorld(t, 6, "w1")
+		w.run(time.Second)
+		w.submit("a", 6)
+		w.run(30 * time.Millisecond)
+		w.apply(pimjob.Cancel{ID: "a"})
+		w.run(300 * time.Millisecond)
+		assert.Equal(t, len(w.workers["w1"].runs), 0)
+		assert.Equal(t, len(w.state.RunsOn("w1")), 0)
+	})
+}
+
+// TestFleetUnderFaults lets orders get lost and arrive late while workers crash, are
+// cut off and leaders change. The fake workers check that nothing runs twice.
+func TestFleetUnderFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newWorld(t, seed, "w1", "w2", "w3")
+			w.lost, w.late, w.mute, w.slow, w.full = 0.05, 0.05, 0.08, 0.3, 0.1
+			ids := []string{"w1", "w2", "w3"}
+			for round := range 12 {
+				w.submit(fmt.Sprintf("job-%d", round), 4)
+				victim := w.workers[ids[w.random.IntN(len(ids))]]
+				switch w.random.IntN(4) {
+				case 0:
+					victim.cut = true
+				case 1:
+					victim.reset(victim.born+1, w.now)
+					w.apply(pimjob.PutWorker{Worker: pimjob.Worker{ID: victim.id, Born: victim.born, Service: "svc"}})
+					w.fleet.OnBeat(victim.id, victim.born, victim.clock(w.now), w.now)
+				case 2:
+					w.elect()
+				default:
+				}
+				w.run(time.Duration(w.random.Int64N(int64(3 * time.Second))))
+				victim.cut = false
+			}
+			w.lost, w.late, w.mute, w.slow, w.full = 0, 0, 0, 0, 0
+			w.run(40 * time.Second)
+			for round := range 12 {
+				w.assertCompleted(fmt.Sprintf("job-%d", round))
+			}
+		})
+	}
+}
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -1,6 +1,8 @@
 package pimfleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
@@ -149,10 +151,9 @@
 // said it will not start. A run that should be there is ordered again under its number,
 // which starts it or tells that it has ended.
 func (f *Fleet) settle(c *contact, sentAt time.Duration, listed map[runID]bool) {
-	for id, o := range c.orders {
-		if listed[id] || o.inFlight {
-			continue
-		}
+	missing := func(o *order) bool { return !o.inFlight && !listed[runID{o.live.Key, o.live.Run.Number}] }
+	for _, o := range c.sorted(missing) {
+		id := runID{o.live.Key, o.live.Run.Number}
 		switch {
 		case o.state == settling && o.settledAt < sentAt:
 			f.note("run will not start", c.worker.ID, id, "")
@@ -256,8 +257,8 @@
 // the ends among them may be acknowledged.
 func (f *Fleet) OnCommitted(marks map[string]Mark, now time.Duration) {
 	f.now = now
-	for id, mark := range marks {
-		c := f.contacts[id]
+	for _, id := range slices.Sorted(maps.Keys(marks)) {
+		c, mark := f.contacts[id], marks[id]
 		if c == nil || c.worker.Born != mark.Born || mark.Sequence <= c.cursor {
 			continue
 		}
--- /dev/null
+++ b/internal/job/pimfleet/world_test.go
@@ -0,0 +1,332 @@
+package pimfleet_test
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+type (
+	// fakeWorker follows the published rules for executors in virtual time.
+	fakeWorker struct {
+		id       string
+		born     int64
+		bornAt   time.Duration
+		token    uint64
+		lease    time.Duration
+		runs     map[pimjob.TaskKey]*fakeRun
+		highest  map[pimjob.TaskKey]int
+		finished []pimfleet.Ended
+		sequence int64
+		down     bool
+		cut      bool
+	}
+
+	fakeRun struct {
+		number int
+		doneAt time.Duration
+		fails  bool
+	}
+
+	// delivery is a call on its way to a worker, or a result on its way back.
+	delivery struct {
+		at     time.Duration
+		call   pimfleet.Call
+		result *pimfleet.Result
+		fleet  *pimfleet.Fleet
+		silent bool
+	}
+
+	// world runs fleets against fake workers and checks the promises at the workers.
+	world struct {
+		t       *testing.T
+		random  *rand.Rand
+		now     time.Duration
+		state   *pimjob.State
+		fleet   *pimfleet.Fleet
+		term    uint64
+		workers map[string]*fakeWorker
+		queue   []delivery
+		done    map[pimjob.TaskKey]bool
+		starts  int
+		// Faults: shares of calls.
+		lost, late float64
+		// slow is the share of answers that others overtake, full that of starts without room.
+		slow, full float64
+		// mute is the share of calls that are carried out and whose answer is lost.
+		mute float64
+	}
+)
+
+const (
+	testLease = 6 * time.Second
+	tick      = 10 * time.Millisecond
+	wayTime   = 2 * time.Millisecond
+	startTime = 1_700_000_000_000
+)
+
+var policy = pimfleet.Policy{Lease: testLease, StopTimeout: 200 * time.Millisecond, Wait: 0}
+
+func newWorld(t *testing.T, seed uint64, workers ...string) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), state: pimjob.NewState(), now: time.Second,
+		workers: map[string]*fakeWorker{}, done: map[pimjob.TaskKey]bool{},
+	}
+	var ops []pimjob.Op
+	for _, id := range workers {
+		w.workers[id] = &fakeWorker{id: id, born: 1}
+		w.workers[id].reset(1, 0)
+		ops = append(ops, pimjob.PutWorker{Worker: pimjob.Worker{ID: id, Born: 1, Service: "svc", Capacity: pimjob.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20}}})
+	}
+	w.state.Apply(startTime, ops)
+	w.elect()
+	return w
+}
+
+func (f *fakeWorker) reset(born int64, now time.Duration) {
+	f.born, f.bornAt, f.token, f.lease, f.sequence = born, now, 0, 0, 0
+	f.runs, f.highest, f.finished = map[pimjob.TaskKey]*fakeRun{}, map[pimjob.TaskKey]int{}, nil
+}
+
+func (f *fakeWorker) clock(now time.Duration) time.Duration { return now - f.bornAt + time.Millisecond }
+
+// elect lets a new leader take over from the present state.
+func (w *world) elect() {
+	w.term++
+	w.fleet = pimfleet.NewFleet(policy, w.term, w.state, w.now)
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		worker := w.workers[id]
+		w.fleet.OnBeat(id, worker.born, worker.clock(w.now), w.now)
+	}
+}
+
+func (w *world) submit(id string, tasks int) {
+	w.apply(pimjob.Submit{
+		Submission: pimjob.Submission{ID: id, Spec: "s", Steps: []pimjob.Step{{Count: tasks, Estimate: time.Second}}},
+		Queue:      pimjob.Queue{Name: "q", Service: "svc", Attempts: 1000},
+	})
+}
+
+func (w *world) apply(ops ...pimjob.Op) {
+	marks := w.fleet.Marks()
+	w.fleet.OnChanges(w.state.Apply(startTime+w.now.Milliseconds(), ops), w.now)
+	w.fleet.OnCommitted(marks, w.now)
+}
+
+// place starts every waiting task on a worker that answers.
+func (w *world) place() {
+	var ops []pimjob.Op
+	for _, job := range w.state.OpenJobs() {
+		for i, task := range job.Occurrences[0].Steps[0].Tasks {
+			if task.Done || task.Run != nil {
+				continue
+			}
+			var usable []*pimjob.Worker
+			for _, worker := range w.state.Workers() {
+				if w.fleet.View(worker.ID).Usable {
+					usable = append(usable, worker)
+				}
+			}
+			if len(usable) == 0 {
+				return
+			}
+			to := usable[w.random.IntN(len(usable))]
+			ops = append(ops, pimjob.Start{Key: pimjob.TaskKey{Job: job.Submission.ID, Index: i}, Number: task.Last + 1, Worker: to.ID, Born: to.Born})
+		}
+	}
+	if len(ops) > 0 {
+		w.apply(ops...)
+	}
+}
+
+// run lets the world go on.
+func (w *world) run(duration time.Duration) {
+	for end := w.now + duration; w.now < end; w.now += tick {
+		for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+			w.workers[id].advance(w, w.now)
+		}
+		w.deliver()
+		w.fleet.Tick(w.now)
+		w.place()
+		w.take()
+	}
+}
+
+func (w *world) take() {
+	for {
+		calls, ops, _ := w.fleet.Take()
+		for _, call := range calls {
+			w.send(call)
+		}
+		if len(ops) == 0 {
+			return
+		}
+		w.apply(ops...)
+	}
+}
+
+func (w *world) send(call pimfleet.Call) {
+	d := delivery{at: w.now + wayTime, call: call, fleet: w.fleet}
+	switch chance := w.random.Float64(); {
+	case chance < w.lost:
+		w.queue = append(w.queue, delivery{at: w.now + 500*time.Millisecond, fleet: w.fleet, result: &pimfleet.Result{Call: call}})
+		return
+	case chance < w.lost+w.late:
+		d.silent = true
+		d.at = w.now + 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+	case chance < w.lost+w.late+w.mute:
+		d.silent = true
+	}
+	if d.silent {
+		w.queue = append(w.queue, delivery{at: w.now + 500*time.Millisecond, fleet: w.fleet, result: &pimfleet.Result{Call: call}})
+	}
+	w.queue = append(w.queue, d)
+}
+
+func (w *world) deliver() {
+	for {
+		at := slices.IndexFunc(w.queue, func(d delivery) bool { return d.at <= w.now })
+		if at < 0 {
+			return
+		}
+		d := w.queue[at]
+		w.queue = slices.Delete(w.queue, at, at+1)
+		if d.result != nil {
+			if d.fleet == w.fleet {
+				w.fleet.OnResult(*d.result, w.now)
+			}
+			continue
+		}
+		worker := w.workers[pimfleet.TargetOf(d.call).ID]
+		result := pimfleet.Result{Call: d.call}
+		back := w.now + wayTime
+		switch {
+		case worker.down || worker.cut:
+			back = w.now + 500*time.Millisecond
+		case worker.born != pimfleet.TargetOf(d.call).Born:
+			result.Outcome = pimfleet.OtherLife
+		default:
+			result = worker.answer(w, d.call)
+		}
+		if w.random.Float64() < w.slow {
+			back += time.Duration(w.random.Int64N(int64(400 * time.Millisecond)))
+		}
+		if !d.silent {
+			w.queue = append(w.queue, delivery{at: back, fleet: d.fleet, result: &result})
+		}
+	}
+}
+
+// answer carries out a call as an executor does.
+func (f *fakeWorker) answer(w *world, call pimfleet.Call) pimfleet.Result {
+	result := pimfleet.Result{Call: call, Outcome: pimfleet.Carried, Clock: f.clock(w.now), Born: f.born}
+	switch call := call.(type) {
+	case pimfleet.Hold:
+		if !f.fence(&result, call.Token) {
+			return result
+		}
+		f.lease = max(f.lease, call.Deadline)
+		f.finished = slices.DeleteFunc(f.finished, func(e pimfleet.Ended) bool { return e.Sequence <= call.Cursor })
+		for _, key := range slices.SortedFunc(maps.Keys(f.runs), pimjob.CompareKeys) {
+			run := f.runs[key]
+			result.Running = append(result.Running, pimfleet.Row{Key: key, Number: run.number})
+		}
+		result.Ended = slices.Clone(f.finished)
+	case pimfleet.StartRun:
+		f.start(w, call, &result)
+	case pimfleet.StopRun:
+		if !f.fence(&result, call.Token) {
+			return result
+		}
+		if run := f.runs[call.Key]; run != nil && run.number <= call.Number {
+			f.end(call.Key, pimjob.EndStopped)
+		}
+		f.highest[call.Key] = max(f.highest[call.Key], call.Number)
+	}
+	return result
+}
+
+func (f *fakeWorker) fence(result *pimfleet.Result, token uint64) bool {
+	if token < f.token {
+		result.Outcome, result.Reason = pimfleet.Rejected, pimfleet.ReasonFence
+		return false
+	}
+	f.token = token
+	return true
+}
+
+func (f *fakeWorker) start(w *world, call pimfleet.StartRun, result *pimfleet.Result) {
+	if !f.fence(result, call.Token) {
+		return
+	}
+	if run := f.runs[call.Key]; run != nil && run.number == call.Number {
+		return
+	}
+	switch {
+	case f.clock(w.now) > call.Deadline:
+		result.Outcome, result.Reason = pimfleet.Rejected, pimfleet.ReasonLate
+	case call.Number <= f.highest[call.Key]:
+		result.Outcome, result.Reason = pimfleet.Rejected, pimfleet.ReasonOld
+		f.lease = max(f.lease, call.Deadline)
+	case w.random.Float64() < w.full:
+		result.Outcome, result.Reason = pimfleet.Rejected, pimfleet.ReasonRoom
+		f.lease = max(f.lease, call.Deadline)
+	default:
+		f.lease = max(f.lease, call.Deadline)
+		w.onStart(f, call)
+		f.runs[call.Key] = &fakeRun{number: call.Number, doneAt: w.now + w.workTime(), fails: w.random.Float64() < 0.1}
+	}
+}
+
+// workTime is short for a part of the tasks, so that some end before their order is answered.
+func (w *world) workTime() time.Duration {
+	most := 2 * time.Second
+	if w.random.IntN(3) == 0 {
+		most = 100 * time.Millisecond
+	}
+	return time.Duration(w.random.Int64N(int64(most)))
+}
+
+func (f *fakeWorker) end(key pimjob.TaskKey, how pimjob.EndKind) {
+	run := f.runs[key]
+	delete(f.runs, key)
+	f.sequence++
+	f.highest[key] = max(f.highest[key], run.number)
+	f.finished = append(f.finished, pimfleet.Ended{Sequence: f.sequence, Key: key, Number: run.number, How: how})
+}
+
+func (f *fakeWorker) advance(w *world, now time.Duration) {
+	if f.down {
+		return
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(f.runs), pimjob.CompareKeys) {
+		run := f.runs[key]
+		switch {
+		case f.clock(now) > f.lease:
+			f.end(key, pimjob.EndLapsed)
+		case now >= run.doneAt && run.fails:
+			f.end(key, pimjob.EndFailed)
+		case now >= run.doneAt:
+			w.done[key] = true
+			f.end(key, pimjob.EndDone)
+		}
+	}
+}
+
+// onStart checks the promise that no task runs in two places at once or again once its end is noted.
+func (w *world) onStart(at *fakeWorker, call pimfleet.StartRun) {
+	w.starts++
+	for _, other := range w.workers {
+		if run := other.runs[call.Key]; run != nil && !other.down {
+			w.t.Errorf("at %v task %v run %d starts on %s beside run %d on %s", w.now, call.Key, call.Number, at.id, run.number, other.id)
+		}
+	}
+	if task, _, _ := w.state.Task(call.Key); task.Done {
+		w.t.Errorf("at %v task %v starts again on %s after it was done", w.now, call.Key, at.id)
+	}
+}
--- /dev/null
+++ b/internal/job/pimjob/state_test.go
@@ -0,0 +1,264 @@
+package pimjob_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+const firstMoment = int64(1_700_000_000_000)
+
+func submission(id string, counts ...int) pimjob.Submission {
+	s := pimjob.Submission{ID: id, Spec: "spec"}
+	for i, count := range counts {
+		step := pimjob.Step{Count: count, Need: pimjob.Resources{Millicores: 1000, MemoryMB: 100}, Estimate: time.Second}
+		if i > 0 {
+			step.DependsOn = []int{i - 1}
+		}
+		s.Steps = append(s.Steps, step)
+	}
+	return s
+}
+
+func worker(id string, born int64) pimjob.Worker {
+	return pimjob.Worker{ID: id, Born: born, Address: id + ":1", Service: "svc", Domain: "east", Capacity: pimjob.Resources{Millicores: 4000, MemoryMB: 4000}}
+}
+
+func newState(ops ...pimjob.Op) *pimjob.State {
+	s := pimjob.NewState()
+	s.Apply(firstMoment, append([]pimjob.Op{
+		pimjob.PutWorker{Worker: worker("w1", 1)}, pimjob.PutWorker{Worker: worker("w2", 1)},
+	}, ops...))
+	return s
+}
+
+func submit(s pimjob.Submission) pimjob.Op {
+	return pimjob.Submit{Submission: s, Queue: pimjob.Queue{Name: "q", Service: "svc", Attempts: 2}}
+}
+
+func key(job string, step, index int) pimjob.TaskKey {
+	return pimjob.TaskKey{Job: job, Step: step, Index: index}
+}
+
+func start(k pimjob.TaskKey, number int, worker string) pimjob.Op {
+	return pimjob.Start{Key: k, Number: number, Worker: worker, Born: 1}
+}
+
+func end(k pimjob.TaskKey, number int, worker string, how pimjob.EndKind) pimjob.Op {
+	return pimjob.End{Key: k, Number: number, Worker: worker, Born: 1, How: how}
+}
+
+func assertRun(t *testing.T, s *pimjob.State, k pimjob.TaskKey, worker string) {
+	t.Helper()
+	task, _, _ := s.Task(k)
+	if worker == "" {
+		assert.Assert(t, task.Run == nil, "task %v has a run", k)
+		return
+	}
+	assert.Assert(t, task.Run != nil, "task %v has no run", k)
+	assert.Equal(t, task.Run.Worker, worker)
+}
+
+func TestJob(t *testing.T) {
+	t.Run("a job is completed when all tasks of all steps are done", func(t *testing.T) {
+		s := newState(submit(submission("a", 1, 1)))
+		s.Apply(firstMoment, []pimjob.Op{start(key("a", 0, 0), 1, "w1"), end(key("a", 0, 0), 1, "w1", pimjob.EndDone)})
+		assert.Equal(t, s.Job("a").State, pimjob.Running)
+		assert.Assert(t, s.Job("a").StepIsReady(0, 1))
+		s.Apply(firstMoment, []pimjob.Op{start(key("a", 1, 0), 1, "w1"), end(key("a", 1, 0), 1, "w1", pimjob.EndDone)})
+		assert.Equal(t, s.Job("a").State, pimjob.Completed)
+	})
+	t.Run("the same id again is one job", func(t *testing.T) {
+		s := newState(submit(submission("a", 1)), submit(submission("a", 5)))
+		assert.Equal(t, len(s.Job("a").Submission.Steps[0:1]), 1)
+		assert.Equal(t, s.Job("a").Submission.Steps[0].Count, 1)
+	})
+	t.Run("only failed ends count as attempts", func(t *testing.T) {
+		s := newState(submit(submission("a", 1)))
+		k := key("a", 0, 0)
+		for number, how := range []pimjob.EndKind{pimjob.EndStopped, pimjob.EndLapsed, pimjob.EndRefused, pimjob.EndFailed} {
+			s.Apply(firstMoment, []pimjob.Op{start(k, number+1, "w1"), end(k, number+1, "w1", how)})
+			assert.Equal(t, s.Job("a").State, pimjob.Running)
+		}
+		s.Apply(firstMoment, []pimjob.Op{start(k, 5, "w1"), end(k, 5, "w1", pimjob.EndFailed)})
+		assert.Equal(t, s.Job("a").State, pimjob.Failed)
+	})
+	t.Run("a task that lasts starts again however it ended", func(t *testing.T) {
+		lasting := submission("a", 1)
+		lasting.Steps[0].Lasting = true
+		s := newState(submit(lasting))
+		for number, how := range []pimjob.EndKind{pimjob.EndDone, pimjob.EndFailed, pimjob.EndFailed, pimjob.EndFailed} {
+			s.Apply(firstMoment, []pimjob.Op{start(key("a", 0, 0), number+1, "w1")})
+			assertRun(t, s, key("a", 0, 0), "w1")
+			s.Apply(firstMoment, []pimjob.Op{end(key("a", 0, 0), number+1, "w1", how)})
+		}
+		assert.Equal(t, s.Job("a").State, pimjob.Running)
+	})
+	t.Run("one end of a gang's member represents all, and its failures count once a run", func(t *testing.T) {
+		gang := submission("a", 3)
+		gang.Steps[0].Gang = true
+		s := newState(submit(gang))
+		var starts, failures []pimjob.Op
+		for i := range 3 {
+			starts = append(starts, start(key("a", 0, i), 1, "w1"))
+			failures = append(failures, end(key("a", 0, i), 1, "w1", pimjob.EndFailed))
+		}
+		s.Apply(firstMoment, append(starts, failures...))
+		assert.Equal(t, s.Job("a").State, pimjob.Running)
+		for i := range 3 {
+			s.Apply(firstMoment, []pimjob.Op{start(key("a", 0, i), 2, "w1")})
+		}
+		s.Apply(firstMoment, []pimjob.Op{end(key("a", 0, 1), 2, "w1", pimjob.EndDone)})
+		assert.Equal(t, s.Job("a").State, pimjob.Completed)
+		s.Apply(firstMoment, []pimjob.Op{end(key("a", 0, 0), 2, "w1", pimjob.EndBroken), end(key("a", 0, 2), 2, "w1", pimjob.EndDone)})
+		assert.Equal(t, len(s.RunsOn("w1")), 0)
+	})
+	t.Run("an ended job stays known for its time and is forgotten after it", func(t *testing.T) {
+		s := newState(submit(submission("a", 1)), pimjob.Cancel{ID: "a"})
+		s.Apply(firstMoment+pimjob.JobKeep.Milliseconds()-1, nil)
+		assert.Assert(t, s.Job("a") != nil)
+		s.Apply(firstMoment+pimjob.JobKeep.Milliseconds()+6000, nil)
+		assert.Assert(t, s.Job("a") == nil)
+	})
+}
+
+func TestStartIsVoid(t *testing.T) {
+	k := key("a", 0, 0)
+	for _, c := range []struct {
+		name   string
+		before []pimjob.Op
+		op     pimjob.Op
+		runsOn string
+	}{
+		{"beside a live run", []pimjob.Op{start(k, 1, "w1")}, start(k, 2, "w2"), "w1"},
+		{"with a number that was used", []pimjob.Op{start(k, 1, "w1"), end(k, 1, "w1", pimjob.EndLost)}, start(k, 1, "w2"), ""},
+		{"after the task is done", []pimjob.Op{start(k, 1, "w1"), end(k, 1, "w1", pimjob.EndDone)}, start(k, 2, "w2"), ""},
+		{"after the job was cancelled", []pimjob.Op{pimjob.Cancel{ID: "a"}}, start(k, 1, "w1"), ""},
+		{"on an older life", []pimjob.Op{pimjob.PutWorker{Worker: worker("w1", 2)}}, start(k, 1, "w1"), ""},
+		{"on a worker that left", []pimjob.Op{pimjob.DropWorker{ID: "w1", Born: 1}}, start(k, 1, "w1"), ""},
+		{"in a failure domain that is out", []pimjob.Op{pimjob.MarkDomain{Domain: "east", Out: true}}, start(k, 1, "w1"), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newState(submit(submission("a", 1)))
+			s.Apply(firstMoment, append(c.before, c.op))
+			assertRun(t, s, k, c.runsOn)
+		})
+	}
+	t.Run("on a worker that drains", func(t *testing.T) {
+		draining := worker("w1", 1)
+		draining.Draining = true
+		s := newState(submit(submission("a", 1)), pimjob.PutWorker{Worker: draining}, pimjob.PutWorker{Worker: worker("w1", 1)})
+		s.Apply(firstMoment, []pimjob.Op{start(k, 1, "w1")})
+		assertRun(t, s, k, "")
+	})
+}
+
+func TestWorkerLives(t *testing.T) {
+	k := key("a", 0, 0)
+	t.Run("a new life loses the runs of the old one", func(t *testing.T) {
+		s := newState(submit(submission("a", 1)))
+		s.Apply(firstMoment, []pimjob.Op{start(k, 1, "w1"), pimjob.PutWorker{Worker: worker("w1", 2)}})
+		assertRun(t, s, k, "")
+	})
+	t.Run("a late word of an old life changes nothing", func(t *testing.T) {
+		s := newState(pimjob.PutWorker{Worker: worker("w1", 2)}, pimjob.PutWorker{Worker: worker("w1", 1)}, pimjob.DropWorker{ID: "w1", Born: 1})
+		assert.Equal(t, s.Worker("w1").Born, int64(2))
+	})
+	t.Run("a life that is over does not come back", func(t *testing.T) {
+		s := newState(pimjob.DropWorker{ID: "w1", Born: 1}, pimjob.PutWorker{Worker: worker("w1", 1)})
+		assert.Assert(t, s.Worker("w1") == nil)
+		s.Apply(firstMoment, []pimjob.Op{pimjob.PutWorker{Worker: worker("w1", 2)}})
+		assert.Assert(t, s.Worker("w1") != nil)
+	})
+}
+
+func TestConfig(t *testing.T) {
+	put := func(version int64, text string) pimjob.Op {
+		return pimjob.PutConfig{Config: pimjob.Config{Version: version, Text: []byte(text)}}
+	}
+	t.Run("only a higher version comes into force", func(t *testing.T) {
+		s := newState(put(3, "three"), put(3, "other three"), put(2, "two"))
+		assert.Equal(t, string(s.Config().Text), "three")
+	})
+	t.Run("the longest prefix leads to the queue", func(t *testing.T) {
+		c := pimjob.Config{Queues: []pimjob.Queue{{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}}}
+		queue, rest := c.FindQueue("h", "/a/b/0123")
+		assert.Equal(t, queue.Name+" "+rest, "long 0123")
+		queue, _ = c.FindQueue("other", "/a/b/0123")
+		assert.Assert(t, queue == nil)
+	})
+}
+
+// TestRandomOps applies random operations to two replicas, one of which is restored
+// from snapshots in between, and checks what must hold for every state.
+func TestRandomOps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := newState(submit(submission("a", 2, 1))), newState(submit(submission("a", 2, 1)))
+		at := firstMoment
+		starts := map[pimjob.TaskKey]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "batches") {
+			at += rapid.Int64Range(-50, 500).Draw(t, "step")
+			op := randomOp(t)
+			changes := one.Apply(at, []pimjob.Op{op})
+			two.Apply(at, []pimjob.Op{op})
+			for _, change := range changes {
+				if started, ok := change.(pimjob.RunStarted); ok {
+					assert.Assert(t, started.Live.Run.Number > starts[started.Live.Key], "run numbers rise")
+					starts[started.Live.Key] = started.Live.Run.Number
+				}
+			}
+			if rapid.Bool().Draw(t, "restore") {
+				data, err := two.Snapshot()
+				assert.NilError(t, err)
+				two, err = pimjob.Restore(data)
+				assert.NilError(t, err)
+			}
+			first, err := one.Snapshot()
+			assert.NilError(t, err)
+			again, err := pimjob.Restore(first)
+			assert.NilError(t, err)
+			for _, id := range []string{"w1", "w2"} {
+				assert.Equal(t, len(one.RunsOn(id)), len(two.RunsOn(id)))
+				assert.Equal(t, len(one.RunsOn(id)), len(again.RunsOn(id)))
+				if one.Worker(id) == nil {
+					assert.Equal(t, len(one.RunsOn(id)), 0, "a worker that left has no runs")
+				}
+			}
+			assert.Equal(t, one.Job("a").State, two.Job("a").State)
+		}
+	})
+}
+
+func randomOp(t *rapid.T) pimjob.Op {
+	k := key("a", rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 1).Draw(t, "index"))
+	id := rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker")
+	born := rapid.Int64Range(1, 3).Draw(t, "born")
+	number := rapid.IntRange(1, 6).Draw(t, "number")
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	case 0:
+		return pimjob.PutWorker{Worker: worker(id, born)}
+	case 1:
+		return pimjob.DropWorker{ID: id, Born: born}
+	case 2:
+		return pimjob.LoseRuns{ID: id, Born: born}
+	case 3, 4:
+		return pimjob.Start{Key: k, Number: number, Worker: id, Born: born}
+	default:
+		how := pimjob.EndKind(rapid.IntRange(0, int(pimjob.EndLost)).Draw(t, "how"))
+		return pimjob.End{Key: k, Number: number, Worker: id, Born: born, How: how}
+	}
+}
+
+func TestBatch(t *testing.T) {
+	ops := []pimjob.Op{submit(submission("a", 1)), start(key("a", 0, 0), 1, "w1"), pimjob.MarkDomain{Domain: "east", Out: true}}
+	data, err := pimjob.EncodeBatch(firstMoment, ops)
+	assert.NilError(t, err)
+	at, decoded, err := pimjob.DecodeBatch(data)
+	assert.NilError(t, err)
+	assert.Equal(t, at, firstMoment)
+	assert.DeepEqual(t, decoded, ops)
+}
