--- a/internal/job/pimcontrol/asks.go
+++ b/internal/job/pimcontrol/asks.go
@@ -77,19 +77,19 @@
 func (c *Control) submit(ask pimask.Submit, respond reply) {
 	l := c.lead
 	id := ask.Submission.ID
+	queue, rest := c.state.Config().FindQueue(ask.Host, ask.Path)
+	if queue == nil || rest != id {
+		l.read(c, respond, func() pimask.Answer { return c.noQueue(ask.Host, ask.Path) })
+		return
+	}
 	if c.state.Job(id) != nil {
-		respond(pimask.Done{})
+		l.read(c, respond, func() pimask.Answer { return pimask.Done{} })
 		return
 	}
 	if waiting, ok := l.submitting[id]; ok {
 		l.submitting[id] = append(waiting, respond)
 		return
 	}
-	queue, rest := c.state.Config().FindQueue(ask.Host, ask.Path)
-	if queue == nil || rest != id {
-		l.read(c, respond, func() pimask.Answer { return c.noQueue(ask.Host, ask.Path) })
-		return
-	}
 	l.submitting[id] = []reply{respond}
 	l.gathered.ops = append(l.gathered.ops, pimjob.Submit{Submission: ask.Submission, Queue: *queue})
 	l.gathered.submits = append(l.gathered.submits, id)
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -53,7 +53,6 @@
 		committing int64
 		unwellTill time.Duration
 		lastBeat   time.Duration
-		startWait  time.Duration
 	}
 
 	// WorkerView is what a planner may know of a worker.
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -33,7 +33,7 @@
 		}
 	case StopRun:
 		if o := c.orders[runID{call.Key, call.Number}]; o != nil {
-			f.onStop(c, o, result)
+			f.onStop(o, result)
 		}
 	case PaceRun:
 		if o := c.orders[runID{call.Key, call.Number}]; o != nil {
@@ -226,16 +226,10 @@
 	}
 }
 
-func (f *Fleet) onStop(c *contact, o *order, result Result) {
+func (f *Fleet) onStop(o *order, result Result) {
 	o.inFlight = false
 	switch result.Outcome {
 	case Carried:
-		if o.state != running {
-			o.state = settling
-			o.settledAt = f.now
-			return
-		}
-		o.nextAt = f.now + f.policy.StopTimeout + retryPause
 		o.state = settling
 		o.settledAt = f.now
 	default:
