--- a/internal/job/pimcontrol/lead.go
+++ b/internal/job/pimcontrol/lead.go
@@ -122,7 +122,7 @@
 		}
 		l.ready = true
 		l.fleet = pimfleet.NewFleet(c.settings.Fleet, l.term, c.state, c.now)
-		l.planner = pimplan.NewPlanner()
+		l.planner = pimplan.NewPlanner(c.state, l.fleet)
 		l.dirty = true
 		c.tellForwarder()
 		c.logger.Info().Uint64("term", l.term).Int("jobs", len(c.state.OpenJobs())).Int("workers", len(c.state.Workers())).Msg("leads")
@@ -211,7 +211,7 @@
 	}
 	l.dirty = false
 	l.planAt = c.now + planInterval
-	plan := l.planner.Plan(pimplan.Input{State: c.state, Workers: l.fleet, Now: c.now, WallClock: time.Now().UnixMilli()})
+	plan := l.planner.Plan(c.now, time.Now().UnixMilli())
 	for _, start := range plan.Starts {
 		l.gathered.ops = append(l.gathered.ops, start)
 		c.logger.Debug().Stringer("task", start.Key).Int("run", start.Number).Str("worker", start.Worker).Msg("placed")
@@ -257,7 +257,8 @@
 func (l *lead) onApplied(c *Control, entry pimconsensus.Entry, changes []pimjob.Change) {
 	if l.fleet != nil {
 		l.fleet.OnChanges(changes, c.now)
-		l.learn(c, changes)
+		l.planner.OnChanges(changes, c.now)
+		c.report(changes)
 	}
 	batch, ok := l.proposed[entry.Index]
 	if !ok {
@@ -280,18 +281,17 @@
 	}
 }
 
-func (l *lead) learn(c *Control, changes []pimjob.Change) {
+// report writes what the log did to the daemon's own log and metrics.
+func (c *Control) report(changes []pimjob.Change) {
 	for _, change := range changes {
 		switch change := change.(type) {
 		case pimjob.RunEnded:
-			l.planner.OnEnd(change.Live, change.How, c.now)
 			c.metrics.CountEnd(change.How.String())
 			if change.How != pimjob.EndDone {
 				c.logger.Info().Stringer("task", change.Live.Key).Int("run", change.Live.Run.Number).
 					Str("worker", change.Live.Run.Worker).Stringer("how", change.How).Msg("run ended")
 			}
 		case pimjob.JobEnded:
-			l.planner.Forget(change.Job)
 			c.logger.Info().Str("job", change.Job.Submission.ID).Str("queue", change.Job.Queue.Name).Stringer("state", change.Job.State).
 				Int64("took-ms", change.Job.EndedAt-change.Job.AcceptedAt).Msg("job ended")
 		case pimjob.WorkerChanged:
@@ -299,7 +299,7 @@
 				Bool("gone", change.Gone).Str("failure-domain", change.Worker.Domain).Msg("worker changed")
 		case pimjob.ConfigChanged:
 			c.logger.Info().Int64("version", c.state.Config().Version).Int("queues", len(c.state.Config().Queues)).Msg("configuration is in force")
-		case pimjob.RunStarted:
+		case pimjob.RunStarted, pimjob.JobAccepted:
 		}
 	}
 }
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -17,9 +17,12 @@
 		now      time.Duration
 		state    *pimjob.State
 		contacts map[string]*contact
-		calls    []Call
-		ops      []pimjob.Op
-		notes    []Note
+		// order holds the contacts sorted by id.
+		order []*contact
+		calls []Call
+		ops   []pimjob.Op
+		notes []Note
+		fresh map[string]bool
 	}
 
 	// Note is a decision for the log.
@@ -53,15 +56,9 @@
 		committing int64
 		unwellTill time.Duration
 		lastBeat   time.Duration
-	}
-
-	// WorkerView is what a planner may know of a worker.
-	WorkerView struct {
-		// Usable means that the worker answered its last renewal in this term.
-		Usable bool
-		// UnwellUntil is until when it should get nothing new.
-		UnwellUntil time.Duration
-		Rows        map[pimjob.TaskKey]RunView
+		// next is when Tick has something to do, unless touched tells that it has changed.
+		next    time.Duration
+		touched bool
 	}
 
 	// RunView is what a worker last listed of a run.
@@ -93,7 +90,7 @@
 // NewFleet returns the fleet of a leader whose term begins now. Leases that earlier
 // leaders granted run out a lease after that at the latest.
 func NewFleet(policy Policy, term uint64, state *pimjob.State, now time.Duration) *Fleet {
-	f := &Fleet{policy: policy, term: term, now: now, state: state, contacts: map[string]*contact{}}
+	f := &Fleet{policy: policy, term: term, now: now, state: state, contacts: map[string]*contact{}, fresh: map[string]bool{}}
 	for _, worker := range state.Workers() {
 		f.addContact(*worker)
 	}
@@ -101,16 +98,24 @@
 }
 
 func (f *Fleet) addContact(worker pimjob.Worker) *contact {
-	c := &contact{worker: worker, orders: map[runID]*order{}, lapsesAt: f.now + stretch(f.policy.Lease) + lapseMargin}
+	c := &contact{touched: true, worker: worker, orders: map[runID]*order{}, lapsesAt: f.now + stretch(f.policy.Lease) + lapseMargin}
 	for key, live := range f.state.RunsOn(worker.ID) {
 		if live.Run.Born == worker.Born {
 			c.orders[runID{key, live.Run.Number}] = &order{live: live, state: inherited, pace: 100, wantPace: 100, moved: f.now}
 		}
 	}
 	f.contacts[worker.ID] = c
+	f.sortContacts()
 	return c
 }
 
+func (f *Fleet) sortContacts() {
+	f.order = f.order[:0]
+	for _, id := range slices.Sorted(maps.Keys(f.contacts)) {
+		f.order = append(f.order, f.contacts[id])
+	}
+}
+
 func stretch(duration time.Duration) time.Duration {
 	return time.Duration(float64(duration) / (1 - clockDrift))
 }
@@ -133,6 +138,7 @@
 	if c == nil || c.worker.Born != born {
 		return
 	}
+	c.touched = true
 	c.lastBeat = now
 	if !c.hasClock {
 		c.setClock(clock, now)
@@ -191,6 +197,7 @@
 
 func (f *Fleet) onEnded(live pimjob.LiveRun) {
 	if c := f.contacts[live.Run.Worker]; c != nil {
+		c.touched = true
 		delete(c.orders, runID{live.Key, live.Run.Number})
 	}
 }
@@ -199,6 +206,7 @@
 	known := f.contacts[change.Worker.ID]
 	if change.Gone {
 		delete(f.contacts, change.Worker.ID)
+		f.sortContacts()
 		return
 	}
 	if known != nil && known.worker.Born == change.Worker.Born {
@@ -213,8 +221,7 @@
 		return
 	}
 	id := job.Submission.ID
-	for _, worker := range slices.Sorted(maps.Keys(f.contacts)) {
-		c := f.contacts[worker]
+	for _, c := range f.order {
 		for _, o := range c.sorted(func(o *order) bool { return o.live.Key.Job == id }) {
 			f.stop(c, o)
 		}
@@ -269,6 +276,7 @@
 
 // advance makes the next call for a run if one is due.
 func (f *Fleet) advance(c *contact, o *order) {
+	c.touched = true
 	if o.inFlight || f.now < o.nextAt || o.state == settling {
 		return
 	}
@@ -315,12 +323,15 @@
 // Tick lets time pass: renewals, repeated calls, leases that ran out.
 func (f *Fleet) Tick(now time.Duration) {
 	f.now = now
-	for _, id := range slices.Sorted(maps.Keys(f.contacts)) {
-		f.tickContact(f.contacts[id])
+	for _, c := range f.order {
+		if c.touched || c.next <= now {
+			f.tickContact(c)
+		}
 	}
 }
 
 func (f *Fleet) tickContact(c *contact) {
+	c.touched = true
 	if !c.holding && c.committing <= c.cursor && f.now >= c.holdAt {
 		f.hold(c)
 	}
@@ -339,6 +350,7 @@
 // hold renews the lease and asks for ends. A worker that did not answer the last renewal gets no new
 // lease with the question, so that the time at which it runs out does not move away.
 func (f *Fleet) hold(c *contact) {
+	c.touched = true
 	call := Hold{Target: c.target(), Token: f.term, Cursor: c.cursor, SentAt: f.now}
 	if c.reachable {
 		call.Deadline = f.deadline(c)
@@ -351,17 +363,27 @@
 // Next returns when Tick has something to do.
 func (f *Fleet) Next() time.Duration {
 	next := f.now + time.Hour
-	for _, c := range f.contacts {
-		if !c.holding && c.committing <= c.cursor {
-			next = min(next, c.holdAt)
-		}
-		if !c.reachable && !c.lapsed {
-			next = min(next, c.lapsesAt)
+	for _, c := range f.order {
+		if c.touched {
+			c.touched = false
+			c.next = c.nextTick(f.now)
 		}
-		for _, o := range c.orders {
-			if o.wantsCall() {
-				next = min(next, o.nextAt)
-			}
+		next = min(next, c.next)
+	}
+	return next
+}
+
+func (c *contact) nextTick(now time.Duration) time.Duration {
+	next := now + time.Hour
+	if !c.holding && c.committing <= c.cursor {
+		next = min(next, c.holdAt)
+	}
+	if !c.reachable && !c.lapsed {
+		next = min(next, c.lapsesAt)
+	}
+	for _, o := range c.orders {
+		if o.wantsCall() {
+			next = min(next, o.nextAt)
 		}
 	}
 	return next
@@ -374,15 +396,28 @@
 	return o.stopping || o.state == starting || (o.state == running && o.pace != o.wantPace)
 }
 
-// View returns what a planner may know of a worker.
-func (f *Fleet) View(id string) WorkerView {
+// IsUsable reports whether a worker answered its last renewal in this term and is well.
+func (f *Fleet) IsUsable(id string, now time.Duration) bool {
+	c := f.contacts[id]
+	return c != nil && c.reachable && c.hasClock && now >= c.unwellTill
+}
+
+// Rows returns what a worker last listed of its runs, in the order of their tasks.
+func (f *Fleet) Rows(id string) []RunView {
 	c := f.contacts[id]
 	if c == nil {
-		return WorkerView{}
+		return nil
 	}
-	view := WorkerView{Usable: c.reachable && c.hasClock, UnwellUntil: c.unwellTill, Rows: map[pimjob.TaskKey]RunView{}}
-	for run, o := range c.orders {
-		view.Rows[run.key] = RunView{Row: o.row, At: o.rowAt, Pace: o.wantPace, MovedAt: o.moved}
+	var rows []RunView
+	for _, o := range c.sorted(func(o *order) bool { return o.rowAt != 0 }) {
+		rows = append(rows, RunView{Row: o.row, At: o.rowAt, Pace: o.wantPace, MovedAt: o.moved})
 	}
-	return view
+	return rows
+}
+
+// TakeFresh returns the workers that listed their runs since the last call, sorted.
+func (f *Fleet) TakeFresh() []string {
+	fresh := slices.Sorted(maps.Keys(f.fresh))
+	clear(f.fresh)
+	return fresh
 }
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -16,6 +16,7 @@
 	if c == nil || c.worker.Born != target.Born {
 		return
 	}
+	c.touched = true
 	if result.Outcome == OtherLife {
 		f.note("another life answers", c.worker.ID, runID{}, "")
 		f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
@@ -59,6 +60,7 @@
 	c.reachable = true
 	c.holdAt = f.now
 	listed := f.takeRunning(c, result.Running)
+	f.fresh[c.worker.ID] = true
 	f.takeEnded(c, result.Ended, listed)
 	f.settle(c, call.SentAt, listed)
 	if c.committing <= c.cursor {
@@ -257,6 +259,7 @@
 			continue
 		}
 		c.cursor = mark.Sequence
+		c.touched = true
 		if !c.holding && c.committing <= c.cursor {
 			f.hold(c)
 		}
--- a/internal/job/pimfleet/world_test.go
+++ b/internal/job/pimfleet/world_test.go
@@ -128,7 +128,7 @@
 			}
 			var usable []*pimjob.Worker
 			for _, worker := range w.state.Workers() {
-				if w.fleet.View(worker.ID).Usable {
+				if w.fleet.IsUsable(worker.ID, w.now) {
 					usable = append(usable, worker)
 				}
 			}
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -19,8 +19,7 @@
 func (s *State) apply(op Op) []Change {
 	switch op := op.(type) {
 	case Submit:
-		s.submit(op)
-		return nil
+		return s.submit(op)
 	case Cancel:
 		return s.cancel(op)
 	case Start:
@@ -55,9 +54,9 @@
 	return nil
 }
 
-func (s *State) submit(op Submit) {
+func (s *State) submit(op Submit) []Change {
 	if s.tables.Jobs[op.Submission.ID] != nil {
-		return
+		return nil
 	}
 	job := &Job{Submission: op.Submission, Queue: op.Queue, AcceptedAt: s.tables.Now}
 	for range max(1, op.Submission.Repeat) {
@@ -70,6 +69,7 @@
 	job.Open = len(job.Occurrences)
 	s.tables.Jobs[op.Submission.ID] = job
 	s.open[op.Submission.ID] = job
+	return []Change{JobAccepted{job}}
 }
 
 func (s *State) cancel(op Cancel) []Change {
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -33,6 +33,9 @@
 	// Change tells what an operation did.
 	Change interface{ isChange() }
 
+	// JobAccepted is a job that was taken in.
+	JobAccepted struct{ Job *Job }
+
 	// RunStarted is a run that is to be ordered at its worker.
 	RunStarted struct{ Live LiveRun }
 
@@ -40,8 +43,6 @@
 	RunEnded struct {
 		Live LiveRun
 		How  EndKind
-		// JobEnded is set where this end ended the job.
-		JobEnded bool
 	}
 
 	// JobEnded is a job that has come to its end.
@@ -63,6 +64,7 @@
 
 const forgetEvery = 5 * time.Second
 
+func (JobAccepted) isChange()   {}
 func (RunStarted) isChange()    {}
 func (RunEnded) isChange()      {}
 func (JobEnded) isChange()      {}
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -99,6 +99,7 @@
 		Domain   string    `msgpack:"d"`
 		Capacity Resources `msgpack:"c"`
 		Labels   []string  `msgpack:"l,omitempty"`
+		Rack     string    `msgpack:"r,omitempty"`
 		Draining bool      `msgpack:"dr,omitempty"`
 	}
 
--- a/internal/job/pimplan/harm.go
+++ b/internal/job/pimplan/harm.go
@@ -1,9 +1,7 @@
 package pimplan
 
 import (
-	"maps"
 	"slices"
-	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
@@ -20,9 +18,11 @@
 
 	// regression holds the normal equations of share = rest + sum of harm x cores.
 	regression struct {
-		matrix  [][]float64
-		vector  []float64
-		harm    []float64
+		matrix [][]float64
+		vector []float64
+		harm   []float64
+		// weight is that of the next sample.
+		weight  float64
 		samples int
 		solved  int
 	}
@@ -38,6 +38,8 @@
 	priorHarm = 0.05
 	// priorWeight is how many squared cores of samples outweigh the prior.
 	priorWeight = 30.0
+	// maxWeight is the weight of a sample at which all are scaled back.
+	maxWeight = 4.0
 	// solveEvery is how many samples come before the harm is worked out anew.
 	solveEvery = 64
 )
@@ -47,7 +49,7 @@
 }
 
 func newRegression() *regression {
-	r := &regression{vector: make([]float64, maxImages+1), harm: make([]float64, maxImages+1)}
+	r := &regression{weight: 1, vector: make([]float64, maxImages+1), harm: make([]float64, maxImages+1)}
 	for i := range maxImages + 1 {
 		row := make([]float64, maxImages+1)
 		row[i] = priorWeight
@@ -82,20 +84,19 @@
 }
 
 // observe takes in what a worker listed at one time.
-func (m *harmModel) observe(state *pimjob.State, rows map[pimjob.TaskKey]pimfleet.RunView) {
+func (m *harmModel) observe(state *pimjob.State, rows []pimfleet.RunView) {
 	features := make([]float64, maxImages+1)
 	features[maxImages] = 1
-	keys := slices.SortedFunc(maps.Keys(rows), pimjob.CompareKeys)
-	for _, key := range keys {
-		if _, step, _ := state.Task(key); step != nil && step.Fills {
+	for _, view := range rows {
+		if _, step, _ := state.Task(view.Row.Key); step != nil && step.Fills {
 			if index, ok := m.image(step.Image); ok {
-				features[index] += rows[key].Row.Gauge / millisPerCore
+				features[index] += view.Row.Gauge / millisPerCore
 			}
 		}
 	}
-	for _, key := range keys {
-		_, step, _ := state.Task(key)
-		if step == nil || step.Target <= 0 || rows[key].Row.Gauge <= 0 || rows[key].At == 0 {
+	for _, view := range rows {
+		_, step, _ := state.Task(view.Row.Key)
+		if step == nil || step.Target <= 0 || view.Row.Gauge <= 0 {
 			continue
 		}
 		model := m.models[step.Image]
@@ -103,7 +104,7 @@
 			model = newRegression()
 			m.models[step.Image] = model
 		}
-		model.add(features, rows[key].Row.Gauge/float64(step.Target.Milliseconds()))
+		model.add(features, view.Row.Gauge/float64(step.Target.Milliseconds()))
 	}
 }
 
@@ -111,24 +112,46 @@
 const millisPerCore = 1000.0
 
 func (r *regression) add(features []float64, share float64) {
+	// Instead of old samples losing weight, new ones gain it; decay scales all back.
+	r.weight /= forgetting
 	for i, a := range features {
+		if a == 0 {
+			continue
+		}
 		for j, b := range features {
-			r.matrix[i][j] = r.matrix[i][j]*forgetting + a*b
+			r.matrix[i][j] += r.weight * a * b
 		}
-		r.vector[i] = r.vector[i]*forgetting + a*share
-	}
-	for i := range maxImages {
-		// The prior must not be forgotten where no samples come.
-		r.matrix[i][i] += priorWeight * (1 - forgetting)
-		r.vector[i] += priorWeight * (1 - forgetting) * priorHarm
+		r.vector[i] += r.weight * a * share
 	}
 	r.samples++
+	if r.weight > maxWeight {
+		r.decay()
+	}
 	if r.samples-r.solved >= solveEvery {
 		r.solved = r.samples
 		r.harm = solve(r.matrix, r.vector)
 	}
 }
 
+// decay brings the weight of a new sample back to one, the prior's weight aside.
+func (r *regression) decay() {
+	for i := range r.matrix {
+		prior := 0.0
+		if i < maxImages {
+			prior = priorWeight
+		}
+		r.vector[i] = (r.vector[i]-prior*priorHarm)/r.weight + prior*priorHarm
+		for j := range r.matrix[i] {
+			if i == j {
+				r.matrix[i][j] = (r.matrix[i][j]-prior)/r.weight + prior
+			} else {
+				r.matrix[i][j] /= r.weight
+			}
+		}
+	}
+	r.weight = 1
+}
+
 // solve returns x of matrix x = vector by elimination; the matrix is positive definite.
 func solve(matrix [][]float64, vector []float64) []float64 {
 	n := len(vector)
@@ -157,12 +180,3 @@
 	}
 	return x
 }
-
-// newestRow returns when the worker last listed its runs.
-func newestRow(rows map[pimjob.TaskKey]pimfleet.RunView) time.Duration {
-	newest := time.Duration(0)
-	for _, view := range rows {
-		newest = max(newest, view.At)
-	}
-	return newest
-}
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -2,37 +2,40 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
 
 type (
-	// paceState is what the planner last did about the filling tasks of a worker.
+	// paceState is what is known of the serving and filling tasks of a host, and what was
+	// last done about them.
 	paceState struct {
 		seenAt  time.Duration
 		actedAt time.Duration
-		// slowSince tells since when a run has been slowed.
-		slowSince map[pimjob.TaskKey]time.Duration
 		// calmAt is when all serving tasks were last below their targets.
-		calmAt time.Duration
+		calmAt  time.Duration
+		servers []server
+		// unseen are the cores by image of filling tasks that no list shows yet.
+		unseen map[string]float64
 	}
 
-	// server is a serving task on a host: its image and tail as a share of its target.
+	// server is a serving task: its image and tail as a share of its target.
 	server struct {
 		image string
 		share float64
 	}
 
-	// filler is a filling run on a host with what it adds to the worst serving task.
+	// filler is a filling run with the harm of a core of it to the worst serving task.
 	filler struct {
-		key   pimjob.TaskKey
-		image string
-		cores float64
-		pace  int
-		harm  float64
+		key    pimjob.TaskKey
+		number int
+		image  string
+		cores  float64
+		pace   int
+		harm   float64
 	}
 )
 
@@ -55,33 +58,72 @@
 	harmless = 0.012
 )
 
+// plan notes a filling task that comes to the host, or leaves it with sign -1.
+func (s *paceState) plan(step *pimjob.Step, sign int) {
+	if s.unseen == nil {
+		s.unseen = map[string]float64{}
+	}
+	s.unseen[step.Image] = max(0, s.unseen[step.Image]+float64(sign)*float64(step.Need.Millicores)/millisPerCore)
+}
+
+// worstWith returns the highest tail, as a share of its target, that a serving task of
+// the host is expected to have once a filling task works beside it.
+func (s *paceState) worstWith(harms *harmModel, step *pimjob.Step) float64 {
+	worst := 0.0
+	for _, server := range s.servers {
+		share := server.share + harms.harm(server.image, step.Image)*float64(step.Need.Millicores)/millisPerCore
+		for image, cores := range s.unseen {
+			share += harms.harm(server.image, image) * cores
+		}
+		worst = max(worst, share)
+	}
+	return worst
+}
+
 // pace slows the filling tasks that disturb a serving task near its target, the most
 // disturbing ones first, and lets them go faster once there is room again.
-func (p *Planner) pace(in Input, hosts []*host, plan *Plan) {
-	for _, h := range hosts {
-		state := p.paces[h.worker.ID]
-		if state == nil {
-			state = &paceState{slowSince: map[pimjob.TaskKey]time.Duration{}, calmAt: in.Now}
-			p.paces[h.worker.ID] = state
-		}
-		newest := newestRow(h.view.Rows)
-		if newest <= state.seenAt {
+func (p *Planner) pace(now time.Duration, plan *Plan) {
+	for _, id := range p.workers.TakeFresh() {
+		h := p.hosts[id]
+		if h == nil {
 			continue
 		}
-		state.seenAt = newest
-		p.harms.observe(in.State, h.view.Rows)
-		if newest < state.actedAt+paceSettle {
+		rows := p.workers.Rows(id)
+		p.harms.observe(p.state, rows)
+		fillers := h.pacing.observe(p.state, rows, now)
+		if now < h.pacing.actedAt+paceSettle {
 			continue
 		}
-		p.paceHost(in, h, state, plan)
+		p.paceHost(now, h, fillers, plan)
+	}
+}
+
+// observe takes over the tails that a worker listed and returns its filling runs.
+func (s *paceState) observe(state *pimjob.State, rows []pimfleet.RunView, now time.Duration) []filler {
+	s.seenAt = now
+	s.servers = s.servers[:0]
+	clear(s.unseen)
+	var fillers []filler
+	for _, view := range rows {
+		_, step, _ := state.Task(view.Row.Key)
+		switch {
+		case step == nil:
+		case step.Fills:
+			fillers = append(fillers, filler{
+				key: view.Row.Key, number: view.Row.Number, image: step.Image, cores: float64(step.Need.Millicores) / millisPerCore, pace: view.Pace,
+			})
+		case step.Target > 0:
+			s.servers = append(s.servers, server{image: step.Image, share: view.Row.Gauge / float64(step.Target.Milliseconds())})
+		}
 	}
+	return fillers
 }
 
-func (p *Planner) paceHost(in Input, h *host, state *paceState, plan *Plan) {
-	servers, fillers := h.listSharers(in)
+func (p *Planner) paceHost(now time.Duration, h *host, fillers []filler, plan *Plan) {
+	servers, state := h.pacing.servers, &h.pacing
 	worst := worstServer(servers)
 	if worst.share < 1 {
-		state.calmAt = in.Now
+		state.calmAt = now
 	}
 	if len(fillers) == 0 {
 		return
@@ -96,22 +138,22 @@
 		for _, f := range fillers {
 			wanted[f.key] = fullPace
 		}
-	case in.Now-state.calmAt > overTargetMost:
+	case now-state.calmAt > overTargetMost:
 		for _, f := range fillers {
 			wanted[f.key] = 0
 		}
 	case worst.share >= paceDownAt:
 		slowDown(fillers, worst.share-paceGoal, wanted)
 	case worst.share < paceUpBelow:
-		p.speedUp(in, h, servers, fillers, wanted)
+		p.speedUp(servers, fillers, wanted)
 	}
 	for _, f := range fillers {
 		pace, ok := wanted[f.key]
 		if !ok || pace == f.pace {
 			continue
 		}
-		state.actedAt = in.Now
-		plan.Paces = append(plan.Paces, Pace{Worker: h.worker.ID, Key: f.key, Number: in.State.RunsOn(h.worker.ID)[f.key].Run.Number, Percent: pace})
+		state.actedAt = now
+		plan.Paces = append(plan.Paces, Pace{Worker: h.worker.ID, Key: f.key, Number: f.number, Percent: pace})
 	}
 }
 
@@ -128,8 +170,9 @@
 	}
 }
 
-// speedUp lets the least disturbing slowed filler of each serving task's room go faster.
-func (p *Planner) speedUp(_ Input, _ *host, servers []server, fillers []filler, wanted map[pimjob.TaskKey]int) {
+// speedUp lets slowed fillers go faster as far as all serving tasks have room for it, the
+// least disturbing first.
+func (p *Planner) speedUp(servers []server, fillers []filler, wanted map[pimjob.TaskKey]int) {
 	room := make([]float64, len(servers))
 	for i, s := range servers {
 		room[i] = paceDownAt - s.share
@@ -159,24 +202,6 @@
 	return true
 }
 
-// listSharers returns the serving and filling tasks that the host lists.
-func (h *host) listSharers(in Input) ([]server, []filler) {
-	var servers []server
-	var fillers []filler
-	for _, key := range slices.SortedFunc(maps.Keys(h.view.Rows), pimjob.CompareKeys) {
-		view := h.view.Rows[key]
-		_, step, _ := in.State.Task(key)
-		switch {
-		case step == nil || view.At == 0:
-		case step.Fills:
-			fillers = append(fillers, filler{key: key, image: step.Image, cores: float64(step.Need.Millicores) / millisPerCore, pace: view.Pace})
-		case step.Target > 0:
-			servers = append(servers, server{image: step.Image, share: view.Row.Gauge / float64(step.Target.Milliseconds())})
-		}
-	}
-	return servers, fillers
-}
-
 func worstServer(servers []server) server {
 	var worst server
 	for _, s := range servers {
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -1,10 +1,11 @@
-// Package pimplan decides which task runs on which worker. Plan is a pure function of
-// the replicated state, of what workers listed last and of what the planner learned
-// from ends; it reads no clock and gives the same plan for the same input.
+// Package pimplan decides which task runs on which worker. A Planner keeps tables of
+// hosts and of jobs with waiting tasks, which change only with the state, so that a plan
+// costs what has changed. It reads no clock and gives the same plans for the same input.
 package pimplan
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,26 +16,28 @@
 type (
 	// Workers tells what is known of a worker; *pimfleet.Fleet offers it.
 	Workers interface {
-		View(id string) pimfleet.WorkerView
+		// IsUsable reports whether a worker may get new runs at that time.
+		IsUsable(id string, now time.Duration) bool
+		// Rows returns what a worker last listed of its runs.
+		Rows(id string) []pimfleet.RunView
+		// TakeFresh returns the workers that listed their runs since the last call, sorted.
+		TakeFresh() []string
 	}
 
-	// Planner keeps what it learned during one term of leadership.
+	// Planner plans during one term of leadership.
 	Planner struct {
-		records map[string]*record
+		state   *pimjob.State
+		workers Workers
+		hosts   map[string]*host
+		// order holds the hosts sorted by id.
+		order []*host
+		jobs  map[string]*waitingJob
+		dirty map[string]bool
 		// failedOn holds the workers on which a task failed.
 		failedOn map[pimjob.TaskKey][]string
-		paces    map[string]*paceState
 		harms    *harmModel
 	}
 
-	// Input is what a plan is made from. Now is steady, WallClock in milliseconds since 1970.
-	Input struct {
-		State     *pimjob.State
-		Workers   Workers
-		Now       time.Duration
-		WallClock int64
-	}
-
 	// Plan is what is to be done.
 	Plan struct {
 		Starts []pimjob.Start
@@ -60,28 +63,19 @@
 		Percent int
 	}
 
-	// host is a row of the table of workers in one plan.
-	host struct {
-		worker  *pimjob.Worker
-		view    pimfleet.WorkerView
-		record  *record
-		free    pimjob.Resources
-		serving int64
-		busy    int64
-		filling int64
-		fillers int
-		steps   map[stepKey]int
-		images  map[string]int
-		// servers are the serving tasks with their tails; planned fillers raise them.
-		servers []server
-	}
-
 	stepKey struct {
 		job        string
 		occurrence int
 		step       int
 	}
 
+	// waitingJob is a job with tasks that may start, or with occurrences to come.
+	waitingJob struct {
+		job     *pimjob.Job
+		steps   []candidate
+		nextDue int64
+	}
+
 	// candidate is a step with tasks that may start.
 	candidate struct {
 		job      *pimjob.Job
@@ -92,77 +86,138 @@
 	}
 )
 
-// NewPlanner returns a planner that has learned nothing.
-func NewPlanner() *Planner {
-	return &Planner{records: map[string]*record{}, failedOn: map[pimjob.TaskKey][]string{}, paces: map[string]*paceState{}, harms: newHarmModel()}
+// NewPlanner returns a planner for a state, which has learned nothing.
+func NewPlanner(state *pimjob.State, workers Workers) *Planner {
+	p := &Planner{
+		state: state, workers: workers, hosts: map[string]*host{}, jobs: map[string]*waitingJob{}, dirty: map[string]bool{},
+		failedOn: map[pimjob.TaskKey][]string{}, harms: newHarmModel(),
+	}
+	for _, worker := range state.Workers() {
+		p.putHost(*worker)
+	}
+	for _, job := range state.OpenJobs() {
+		p.dirty[job.Submission.ID] = true
+	}
+	return p
 }
 
-// Plan decides what to start, stop and pace now.
-func (p *Planner) Plan(in Input) Plan {
-	var plan Plan
-	hosts := p.buildHosts(in)
-	candidates := p.findCandidates(in, &plan)
-	for _, c := range candidates {
-		p.place(in, c, hosts, &plan)
+// OnChanges takes in what the log did to the state.
+func (p *Planner) OnChanges(changes []pimjob.Change, now time.Duration) {
+	for _, change := range changes {
+		switch change := change.(type) {
+		case pimjob.JobAccepted:
+			p.dirty[change.Job.Submission.ID] = true
+		case pimjob.RunStarted:
+			p.onStarted(change.Live, now)
+		case pimjob.RunEnded:
+			p.onEnded(change.Live, change.How, now)
+		case pimjob.JobEnded:
+			p.forget(change.Job)
+		case pimjob.WorkerChanged:
+			if change.Gone {
+				p.dropHost(change.Worker.ID)
+			} else {
+				p.putHost(change.Worker)
+			}
+		case pimjob.ConfigChanged:
+		}
 	}
-	p.pace(in, hosts, &plan)
-	return plan
 }
 
-func (p *Planner) buildHosts(in Input) []*host {
-	var hosts []*host
-	for _, worker := range in.State.Workers() {
-		h := &host{worker: worker, view: in.Workers.View(worker.ID), record: p.recordOf(worker.ID), free: worker.Capacity, steps: map[stepKey]int{}, images: map[string]int{}}
-		for key := range in.State.RunsOn(worker.ID) {
-			_, step, _ := in.State.Task(key)
-			h.add(key, step)
-		}
-		h.servers, _ = h.listSharers(in)
-		hosts = append(hosts, h)
+func (p *Planner) onStarted(live pimjob.LiveRun, _ time.Duration) {
+	p.dirty[live.Key.Job] = true
+	if h := p.hosts[live.Run.Worker]; h != nil {
+		_, step, _ := p.state.Task(live.Key)
+		h.add(live.Key, step)
 	}
-	return hosts
 }
 
-func (h *host) add(key pimjob.TaskKey, step *pimjob.Step) {
-	h.free = h.free.Minus(step.Reserved())
-	h.steps[stepKey{key.Job, key.Occurrence, key.Step}]++
-	switch {
-	case step.Fills:
-		h.filling += step.Need.Millicores
-		h.fillers++
-	case step.Target > 0:
-		h.serving += step.Need.Millicores
-		h.images[step.Image]++
+func (p *Planner) onEnded(live pimjob.LiveRun, how pimjob.EndKind, now time.Duration) {
+	p.dirty[live.Key.Job] = true
+	if h := p.hosts[live.Run.Worker]; h != nil && h.worker.Born == live.Run.Born {
+		if _, step, _ := p.state.Task(live.Key); step != nil {
+			h.remove(live.Key, step)
+		}
+		h.record.onEnd(live, how, now)
+	}
+	switch how {
+	case pimjob.EndDone:
+		delete(p.failedOn, live.Key)
+	case pimjob.EndFailed:
+		p.failedOn[live.Key] = append(p.failedOn[live.Key], live.Run.Worker)
 	default:
-		h.busy += step.Need.Millicores
 	}
 }
 
-// isOpen reports whether new runs may go to the host.
-func (h *host) isOpen(in Input) bool {
-	return h.view.Usable && !h.worker.Draining && !in.State.IsOut(h.worker.Domain) && in.Now >= h.view.UnwellUntil
+// forget drops what was learned of a job that has ended.
+func (p *Planner) forget(job *pimjob.Job) {
+	delete(p.jobs, job.Submission.ID)
+	delete(p.dirty, job.Submission.ID)
+	for key := range p.failedOn {
+		if key.Job == job.Submission.ID {
+			delete(p.failedOn, key)
+		}
+	}
 }
 
-// findCandidates returns the steps with tasks to start, the most urgent first.
-func (p *Planner) findCandidates(in Input, plan *Plan) []candidate {
-	var candidates []candidate
-	for _, job := range in.State.OpenJobs() {
-		for o := range job.Occurrences {
-			if due := job.Submission.DueAt(o); due > in.WallClock {
-				if plan.NextDue == 0 || due < plan.NextDue {
-					plan.NextDue = due
-				}
-				break
-			}
-			if job.Occurrences[o].Open > 0 {
-				candidates = appendCandidates(candidates, job, o)
-			}
+// Plan decides what to start, stop and pace. Now is steady, wallClock in milliseconds since 1970.
+func (p *Planner) Plan(now time.Duration, wallClock int64) Plan {
+	var plan Plan
+	p.refreshJobs(wallClock)
+	for _, h := range p.order {
+		h.open = p.isOpen(h, now)
+	}
+	var planned []placed
+	for _, c := range p.candidates(&plan) {
+		planned = p.place(c, planned, &plan)
+	}
+	for _, placed := range planned {
+		placed.host.remove(placed.key, placed.step)
+	}
+	p.pace(now, &plan)
+	return plan
+}
+
+// isOpen reports whether new runs may go to a host.
+func (p *Planner) isOpen(h *host, now time.Duration) bool {
+	return !h.worker.Draining && !p.state.IsOut(h.worker.Domain) && now >= h.record.badUntil && p.workers.IsUsable(h.worker.ID, now)
+}
+
+// refreshJobs looks again at the jobs that have changed or whose time has come.
+func (p *Planner) refreshJobs(wallClock int64) {
+	for id, waiting := range p.jobs {
+		if waiting.nextDue != 0 && waiting.nextDue <= wallClock {
+			p.dirty[id] = true
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.due, b.due))
-	})
-	return candidates
+	for id := range p.dirty {
+		delete(p.dirty, id)
+		job := p.state.Job(id)
+		if job == nil || job.State.IsEnded() {
+			delete(p.jobs, id)
+			continue
+		}
+		waiting := findWaiting(job, wallClock)
+		if len(waiting.steps) == 0 && waiting.nextDue == 0 {
+			delete(p.jobs, id)
+			continue
+		}
+		p.jobs[id] = waiting
+	}
+}
+
+func findWaiting(job *pimjob.Job, wallClock int64) *waitingJob {
+	waiting := &waitingJob{job: job}
+	for o := range job.Occurrences {
+		if due := job.Submission.DueAt(o); due > wallClock {
+			waiting.nextDue = due
+			break
+		}
+		if job.Occurrences[o].Open > 0 {
+			waiting.steps = appendCandidates(waiting.steps, job, o)
+		}
+	}
+	return waiting
 }
 
 func appendCandidates(candidates []candidate, job *pimjob.Job, occurrence int) []candidate {
@@ -199,105 +254,18 @@
 	return begin + int64(float64(chain.Milliseconds())*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
 }
 
-// place starts the tasks of a step as far as there is room.
-func (p *Planner) place(in Input, c candidate, hosts []*host, plan *Plan) {
-	step := &c.job.Submission.Steps[c.key.step]
-	if step.Gang {
-		p.placeGang(in, c, step, hosts, plan)
-		return
-	}
-	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
-	for _, index := range c.tasks {
-		key := pimjob.TaskKey{Job: c.key.job, Occurrence: c.key.occurrence, Step: c.key.step, Index: index}
-		best := p.choose(in, c, step, key, hosts, "")
-		if best == nil {
-			return
-		}
-		best.add(key, step)
-		if step.Fills {
-			best.disturb(p.harms, step)
-		}
-		plan.Starts = append(plan.Starts, pimjob.Start{Key: key, Number: state.Tasks[index].Last + 1, Worker: best.worker.ID, Born: best.worker.Born})
-	}
-}
-
-// placeGang starts all tasks of a step together or none, on one rack where that is asked for and possible.
-func (p *Planner) placeGang(in Input, c candidate, step *pimjob.Step, hosts []*host, plan *Plan) {
-	racks := []string{""}
-	if step.SameRack {
-		racks = append(racksOf(hosts), "")
-	}
-	number := 0
-	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
-	for i := range state.Tasks {
-		number = max(number, state.Tasks[i].Last+1)
-	}
-	for _, rack := range racks {
-		var chosen []*host
-		for _, index := range c.tasks {
-			key := pimjob.TaskKey{Job: c.key.job, Occurrence: c.key.occurrence, Step: c.key.step, Index: index}
-			best := p.choose(in, c, step, key, hosts, rack)
-			if best == nil {
-				break
-			}
-			best.add(key, step)
-			chosen = append(chosen, best)
-		}
-		if len(chosen) == len(c.tasks) {
-			for i, h := range chosen {
-				key := pimjob.TaskKey{Job: c.key.job, Occurrence: c.key.occurrence, Step: c.key.step, Index: c.tasks[i]}
-				plan.Starts = append(plan.Starts, pimjob.Start{Key: key, Number: number, Worker: h.worker.ID, Born: h.worker.Born})
-			}
-			return
-		}
-		for _, h := range chosen {
-			h.remove(c.key, step)
-		}
-	}
-}
-
-func (h *host) remove(key stepKey, step *pimjob.Step) {
-	h.free = h.free.Plus(step.Reserved())
-	h.steps[key]--
-	switch {
-	case step.Fills:
-		h.filling -= step.Need.Millicores
-		h.fillers--
-	case step.Target > 0:
-		h.serving -= step.Need.Millicores
-	default:
-		h.busy -= step.Need.Millicores
-	}
-}
-
-// racksOf returns all labels of the workers, sorted; the kinds among them do no harm.
-func racksOf(hosts []*host) []string {
-	var racks []string
-	for _, h := range hosts {
-		racks = append(racks, h.worker.Labels...)
-	}
-	slices.Sort(racks)
-	return slices.Compact(racks)
-}
-
-// choose returns the best host for a task, or nil.
-func (p *Planner) choose(in Input, c candidate, step *pimjob.Step, key pimjob.TaskKey, hosts []*host, rack string) *host {
-	var best *host
-	bestScore := 0.0
-	for _, h := range hosts {
-		if h.worker.Service != c.job.Queue.Service || !h.isOpen(in) || !h.free.Fits(step.Reserved()) {
-			continue
-		}
-		if !h.worker.HasLabel(step.Requirement) || !h.worker.HasLabel(rack) {
-			continue
-		}
-		if step.MaxPerWorker > 0 && h.steps[c.key] >= step.MaxPerWorker {
-			continue
-		}
-		score, ok := p.score(in, step, key, h)
-		if ok && (best == nil || score > bestScore) {
-			best, bestScore = h, score
+// candidates returns the steps with tasks to start, the most urgent first.
+func (p *Planner) candidates(plan *Plan) []candidate {
+	var candidates []candidate
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		waiting := p.jobs[id]
+		candidates = append(candidates, waiting.steps...)
+		if waiting.nextDue != 0 && (plan.NextDue == 0 || waiting.nextDue < plan.NextDue) {
+			plan.NextDue = waiting.nextDue
 		}
 	}
-	return best
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.due, b.due))
+	})
+	return candidates
 }
