What fills is judged by the room that it takes, learned from differences

Change: room = target / tail, in which disturbance adds up; the regression is over differences between two lists (explains half); placement refuses only what takes room from a serving task at its low; harmless images are neither kept away nor slowed; paces are worked out from the room at once; a job with nothing running for a second goes anywhere with room.

--- a/internal/job/pimplan/harm.go
+++ b/internal/job/pimplan/harm.go
@@ -1,22 +1,22 @@
 package pimplan
 
-import (
-	"slices"
-
-	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
-	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
-)
+import "slices"
 
 type (
-	// harmModel learns how much a core that a filling image uses adds to the tail
-	// latency of a serving image, as a share of the target: one linear regression with
-	// slow forgetting for each serving image.
+	// harmModel learns how much a core that a filling image uses takes from the room of
+	// a serving image. Room is the target divided by the tail latency: the tail of a queue
+	// grows as one over what is left of its capacity, so that what disturbs it takes the same
+	// from its room whatever its own load is, while the tail itself may grow a little or
+	// many times over. At 1 a task is at its target; without any load it may be at 4.
+	//
+	// The load of a serving task swings more than what fills beside it changes, so the
+	// regression is over differences between two lists of a worker about a second apart.
 	harmModel struct {
 		images map[string]int
 		models map[string]*regression
 	}
 
-	// regression holds the normal equations of share = rest + sum of harm x cores.
+	// regression holds the normal equations of (loss of room) = sum of harm x cores.
 	regression struct {
 		matrix [][]float64
 		vector []float64
@@ -33,15 +33,15 @@
 	maxImages = 24
 	// forgetting is the weight that a sample keeps with each later one.
 	forgetting = 0.9995
-	// priorHarm is taken for a pair of which nothing is known: four cores add a fifth
-	// of the target.
-	priorHarm = 0.05
+	// priorHarm is taken for a pair of which nothing is known: between the harmless and
+	// the disturbing pairs that the users' platform shows.
+	priorHarm = 0.06
 	// priorWeight is how many squared cores of samples outweigh the prior.
-	priorWeight = 30.0
+	priorWeight = 10.0
 	// maxWeight is the weight of a sample at which all are scaled back.
 	maxWeight = 4.0
 	// solveEvery is how many samples come before the harm is worked out anew.
-	solveEvery = 64
+	solveEvery = 16
 )
 
 func newHarmModel() *harmModel {
@@ -49,16 +49,14 @@
 }
 
 func newRegression() *regression {
-	r := &regression{weight: 1, vector: make([]float64, maxImages+1), harm: make([]float64, maxImages+1)}
-	for i := range maxImages + 1 {
-		row := make([]float64, maxImages+1)
+	r := &regression{weight: 1, vector: make([]float64, maxImages), harm: make([]float64, maxImages)}
+	for i := range maxImages {
+		row := make([]float64, maxImages)
 		row[i] = priorWeight
 		r.matrix = append(r.matrix, row)
 		r.vector[i] = priorWeight * priorHarm
 		r.harm[i] = priorHarm
 	}
-	r.matrix[maxImages][maxImages] = 0.01
-	r.vector[maxImages] = 0
 	return r
 }
 
@@ -72,8 +70,7 @@
 	return index, ok
 }
 
-// harm returns the share of the target that one core of a filling image adds to the
-// tail of a serving image.
+// harm returns the room that one core of a filling image takes from a serving image.
 func (m *harmModel) harm(serving, filling string) float64 {
 	model := m.models[serving]
 	index, ok := m.image(filling)
@@ -83,45 +80,41 @@
 	return max(0, model.harm[index])
 }
 
-// observe takes in what a worker listed at one time.
-func (m *harmModel) observe(state *pimjob.State, rows []pimfleet.RunView) {
-	features := make([]float64, maxImages+1)
-	features[maxImages] = 1
-	for _, view := range rows {
-		if _, step, _ := state.Task(view.Row.Key); step != nil && step.Fills {
-			if index, ok := m.image(step.Image); ok {
-				features[index] += view.Row.Gauge / millisPerCore
-			}
-		}
+// taken returns the room that filling images take, from the cores that each uses.
+func (m *harmModel) taken(serving string, cores []float64) float64 {
+	model := m.models[serving]
+	if model == nil {
+		model = newRegression()
+		m.models[serving] = model
 	}
-	for _, view := range rows {
-		_, step, _ := state.Task(view.Row.Key)
-		if step == nil || step.Target <= 0 || view.Row.Gauge <= 0 {
-			continue
-		}
-		model := m.models[step.Image]
-		if model == nil {
-			model = newRegression()
-			m.models[step.Image] = model
-		}
-		model.add(features, view.Row.Gauge/float64(step.Target.Milliseconds()))
+	sum := 0.0
+	for i, used := range cores {
+		sum += max(0, model.harm[i]) * used
 	}
+	return sum
 }
 
-// millisPerCore converts thousandths of a core.
-const millisPerCore = 1000.0
+// observe takes in that a serving task lost room while the cores that filling images use changed.
+func (m *harmModel) observe(serving string, changes []float64, loss float64) {
+	model := m.models[serving]
+	if model == nil {
+		model = newRegression()
+		m.models[serving] = model
+	}
+	model.add(changes, loss)
+}
 
-func (r *regression) add(features []float64, share float64) {
-	// Instead of old samples losing weight, new ones gain it; decay scales all back.
+// add takes in a sample. Instead of old samples losing weight, new ones gain it.
+func (r *regression) add(changes []float64, loss float64) {
 	r.weight /= forgetting
-	for i, a := range features {
+	for i, a := range changes {
 		if a == 0 {
 			continue
 		}
-		for j, b := range features {
+		for j, b := range changes {
 			r.matrix[i][j] += r.weight * a * b
 		}
-		r.vector[i] += r.weight * a * share
+		r.vector[i] += r.weight * a * loss
 	}
 	r.samples++
 	if r.weight > maxWeight {
@@ -136,14 +129,10 @@
 // decay brings the weight of a new sample back to one, the prior's weight aside.
 func (r *regression) decay() {
 	for i := range r.matrix {
-		prior := 0.0
-		if i < maxImages {
-			prior = priorWeight
-		}
-		r.vector[i] = (r.vector[i]-prior*priorHarm)/r.weight + prior*priorHarm
+		r.vector[i] = (r.vector[i]-priorWeight*priorHarm)/r.weight + priorWeight*priorHarm
 		for j := range r.matrix[i] {
 			if i == j {
-				r.matrix[i][j] = (r.matrix[i][j]-prior)/r.weight + prior
+				r.matrix[i][j] = (r.matrix[i][j]-priorWeight)/r.weight + priorWeight
 			} else {
 				r.matrix[i][j] /= r.weight
 			}
@@ -180,3 +169,6 @@
 	}
 	return x
 }
+
+// millisPerCore converts thousandths of a core.
+const millisPerCore = 1000.0
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,35 +18,65 @@
 		actedAt time.Duration
 		// calmAt is when all serving tasks were last below their targets.
 		calmAt  time.Duration
-		servers []server
-		// unseen are the cores by image of filling tasks that no list shows yet.
-		unseen map[string]float64
+		servers map[pimjob.TaskKey]*server
+		// cores are those that each filling image used when the servers were seen.
+		cores []float64
+		// coming are the cores by image of filling tasks that no list shows yet.
+		coming map[string]float64
+		// listed are the cores by image that the filling tasks on the last list ask for.
+		listed map[string]float64
 	}
 
-	// server is a serving task: its image and tail as a share of its target.
+	// server is a serving task: its image, its room (target divided by tail), its room
+	// without what fills beside it, how fast that changes in a second, and how low it was
+	// in the last while.
 	server struct {
 		image string
-		share float64
+		room  float64
+		alone float64
+		trend float64
+		low   float64
 	}
 
-	// filler is a filling run with the harm of a core of it to the worst serving task.
+	// filler is a filling run. Its weight is the greatest share that a core of it takes of
+	// the room of a serving task.
 	filler struct {
 		key    pimjob.TaskKey
 		number int
 		image  string
 		cores  float64
 		pace   int
-		harm   float64
+		wanted int
+		weight float64
 	}
 )
 
 const (
-	// paceDownAt and paceGoal are shares of a serving task's target latency: above the
-	// first, filling tasks are slowed until the second is expected.
-	paceDownAt = 0.85
-	paceGoal   = 0.7
-	// paceUpBelow is the share below which slowed tasks are let go faster.
-	paceUpBelow = 0.72
+	// slowBelow and fastAbove are rooms that a serving task is expected to have a second
+	// on: below the first, filling tasks are slowed, above the second, slowed ones are let
+	// go faster, both as far as roomGoal has it.
+	slowBelow = 1.05
+	fastAbove = 1.2
+	roomGoal  = 1.15
+	// leastRoom keeps the share of a room finite.
+	leastRoom = 0.1
+	// fillRoom is the room that a new filling task must leave.
+	fillRoom = 0.85
+	// foresight is how far the trend of a room is carried on: the time between two lists
+	// and that of a change of pace.
+	foresight = time.Second
+	// trendWeight is that of the newest figure in the trend.
+	trendWeight = 0.5
+	// lowRise is how fast the low of a room is forgotten in a second, firstSwing how far
+	// below the first figure it is taken to be.
+	lowRise    = 0.03
+	firstSwing = 0.5
+	// minGap and maxGap bound the time between two lists that are compared. A figure covers
+	// half a second.
+	minGap = 400 * time.Millisecond
+	maxGap = 1600 * time.Millisecond
+	// minChange is the change in cores of a filling image from which lists are compared.
+	minChange = 0.3
 	// paceSettle is how long a change of pace takes to show in a worker's lists: the
 	// half second that a figure covers, and the platform's delay.
 	paceSettle = 650 * time.Millisecond
@@ -54,30 +85,46 @@
 	overTargetMost = 1500 * time.Millisecond
 	paceStep       = 25
 	fullPace       = 100
-	// harmless is the harm per core below which a filling image is not slowed.
-	harmless = 0.012
+	// harmless is the harm below which a filling image is neither kept away nor slowed: ten
+	// cores of it take a quarter of what a serving task needs.
+	harmless = 0.025
 )
 
 // plan notes a filling task that comes to the host, or leaves it with sign -1.
 func (s *paceState) plan(step *pimjob.Step, sign int) {
-	if s.unseen == nil {
-		s.unseen = map[string]float64{}
+	if s.coming == nil {
+		s.coming = map[string]float64{}
 	}
-	s.unseen[step.Image] = max(0, s.unseen[step.Image]+float64(sign)*float64(step.Need.Millicores)/millisPerCore)
+	s.coming[step.Image] = max(0, s.coming[step.Image]+float64(sign)*float64(step.Need.Millicores)/millisPerCore)
 }
 
-// worstWith returns the highest tail, as a share of its target, that a serving task of
-// the host is expected to have once a filling task works beside it.
-func (s *paceState) worstWith(harms *harmModel, step *pimjob.Step) float64 {
-	worst := 0.0
+// expected returns the room that a serving task will have in a while.
+func (s *server) expected() float64 {
+	return s.room + min(0, s.trend)*foresight.Seconds()
+}
+
+// roomWith returns the least room that a serving task of the host will have at its next
+// low once a filling task works beside it, and the most that this one takes of any.
+func (s *paceState) roomWith(harms *harmModel, step *pimjob.Step) (least, takes float64) {
+	cores := float64(step.Need.Millicores) / millisPerCore
+	least = fastAbove
 	for _, server := range s.servers {
-		share := server.share + harms.harm(server.image, step.Image)*float64(step.Need.Millicores)/millisPerCore
-		for image, cores := range s.unseen {
-			share += harms.harm(server.image, image) * cores
+		harm := harms.harm(server.image, step.Image)
+		own := harm * cores
+		takes = max(takes, own)
+		if harm < harmless {
+			continue
+		}
+		room := min(server.low, server.alone) - own
+		for image, others := range s.listed {
+			room -= harms.harm(server.image, image) * others
 		}
-		worst = max(worst, share)
+		for image, others := range s.coming {
+			room -= harms.harm(server.image, image) * others
+		}
+		least = min(least, room)
 	}
-	return worst
+	return least, takes
 }
 
 // pace slows the filling tasks that disturb a serving task near its target, the most
@@ -88,126 +135,147 @@
 		if h == nil {
 			continue
 		}
-		rows := p.workers.Rows(id)
-		p.harms.observe(p.state, rows)
-		fillers := h.pacing.observe(p.state, rows, now)
-		if now < h.pacing.actedAt+paceSettle {
-			continue
+		fillers := h.pacing.observe(p.state, p.harms, p.workers.Rows(id), now)
+		if now >= h.pacing.actedAt+paceSettle {
+			p.paceHost(now, h, fillers, plan)
 		}
-		p.paceHost(now, h, fillers, plan)
 	}
 }
 
-// observe takes over the tails that a worker listed and returns its filling runs.
-func (s *paceState) observe(state *pimjob.State, rows []pimfleet.RunView, now time.Duration) []filler {
-	s.seenAt = now
-	s.servers = s.servers[:0]
-	clear(s.unseen)
+// observe takes over what a worker listed, learns from how it differs from the list
+// before, and returns the worker's filling runs.
+func (s *paceState) observe(state *pimjob.State, harms *harmModel, rows []pimfleet.RunView, now time.Duration) []filler {
 	var fillers []filler
+	cores := make([]float64, maxImages)
+	rooms := map[pimjob.TaskKey]*server{}
+	s.listed = map[string]float64{}
 	for _, view := range rows {
 		_, step, _ := state.Task(view.Row.Key)
 		switch {
 		case step == nil:
 		case step.Fills:
-			fillers = append(fillers, filler{
-				key: view.Row.Key, number: view.Row.Number, image: step.Image, cores: float64(step.Need.Millicores) / millisPerCore, pace: view.Pace,
-			})
-		case step.Target > 0:
-			s.servers = append(s.servers, server{image: step.Image, share: view.Row.Gauge / float64(step.Target.Milliseconds())})
+			if index, ok := harms.image(step.Image); ok {
+				cores[index] += view.Row.Gauge / millisPerCore
+			}
+			f := filler{key: view.Row.Key, number: view.Row.Number, image: step.Image, cores: float64(step.Need.Millicores) / millisPerCore, pace: view.Pace}
+			fillers = append(fillers, f)
+			s.listed[f.image] += f.cores
+		case step.Target > 0 && view.Row.Gauge > 0:
+			rooms[view.Row.Key] = &server{image: step.Image, room: float64(step.Target.Milliseconds()) / view.Row.Gauge}
+		}
+	}
+	gap := now - s.seenAt
+	if gap < minGap && len(s.servers) > 0 {
+		// The figures cover the same time as the last ones; only rooms are taken over.
+		for key, fresh := range rooms {
+			if known := s.servers[key]; known != nil {
+				known.room = min(known.room, fresh.room)
+			}
 		}
+		return fillers
 	}
+	s.compare(harms, rooms, cores, gap)
+	s.seenAt, s.servers, s.cores = now, rooms, cores
+	clear(s.coming)
 	return fillers
 }
 
+// compare learns from two lists and works out trends.
+func (s *paceState) compare(harms *harmModel, rooms map[pimjob.TaskKey]*server, cores []float64, gap time.Duration) {
+	changes := make([]float64, maxImages)
+	changed := false
+	for i := range cores {
+		if len(s.cores) > 0 {
+			changes[i] = cores[i] - s.cores[i]
+			changed = changed || max(changes[i], -changes[i]) >= minChange
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(rooms), pimjob.CompareKeys) {
+		fresh, known := rooms[key], s.servers[key]
+		if known != nil && changed && gap <= maxGap {
+			harms.observe(fresh.image, changes, known.room-fresh.room)
+		}
+		fresh.alone = fresh.room + harms.taken(fresh.image, cores)
+		fresh.low = fresh.alone - firstSwing
+		if known != nil {
+			fresh.low = min(fresh.alone, known.low+lowRise*gap.Seconds())
+		}
+		if known != nil && gap <= maxGap {
+			fresh.trend = (1-trendWeight)*known.trend + trendWeight*(fresh.alone-known.alone)/gap.Seconds()
+		}
+	}
+}
+
 func (p *Planner) paceHost(now time.Duration, h *host, fillers []filler, plan *Plan) {
-	servers, state := h.pacing.servers, &h.pacing
-	worst := worstServer(servers)
-	if worst.share < 1 {
+	state := &h.pacing
+	tightest := state.tightest()
+	if tightest == nil || tightest.room > 1 {
 		state.calmAt = now
 	}
 	if len(fillers) == 0 {
 		return
 	}
-	for i := range fillers {
-		fillers[i].harm = p.harms.harm(worst.image, fillers[i].image)
-	}
-	slices.SortStableFunc(fillers, func(a, b filler) int { return cmp.Compare(b.harm, a.harm) })
-	wanted := map[pimjob.TaskKey]int{}
-	switch {
-	case len(servers) == 0:
-		for _, f := range fillers {
-			wanted[f.key] = fullPace
-		}
-	case now-state.calmAt > overTargetMost:
-		for _, f := range fillers {
-			wanted[f.key] = 0
-		}
-	case worst.share >= paceDownAt:
-		slowDown(fillers, worst.share-paceGoal, wanted)
-	case worst.share < paceUpBelow:
-		p.speedUp(servers, fillers, wanted)
+	slower, faster := tightest != nil && tightest.expected() < slowBelow, tightest == nil || tightest.expected() > fastAbove
+	if !slower && !faster {
+		return
 	}
+	stopAll := now-state.calmAt > overTargetMost
+	p.choosePaces(state, fillers)
 	for _, f := range fillers {
-		pace, ok := wanted[f.key]
-		if !ok || pace == f.pace {
+		if stopAll {
+			f.wanted = 0
+		}
+		if f.wanted == f.pace || (f.wanted < f.pace && !slower) || (f.wanted > f.pace && !faster) {
 			continue
 		}
 		state.actedAt = now
-		plan.Paces = append(plan.Paces, Pace{Worker: h.worker.ID, Key: f.key, Number: f.number, Percent: pace})
+		plan.Paces = append(plan.Paces, Pace{Worker: h.worker.ID, Key: f.key, Number: f.number, Percent: f.wanted})
 	}
 }
 
-// slowDown takes off excess, a share of the target, from the most disturbing fillers.
-func slowDown(fillers []filler, excess float64, wanted map[pimjob.TaskKey]int) {
-	for _, f := range fillers {
-		adds := f.harm * f.cores * float64(f.pace) / fullPace
-		if excess <= 0 || f.harm < harmless || adds <= 0 {
-			continue
+// choosePaces shares out the room of the serving tasks above roomGoal among the fillers:
+// those that take the least of what there is come first, and what takes next to nothing
+// always works.
+func (p *Planner) choosePaces(state *paceState, fillers []filler) {
+	left := map[*server]float64{}
+	for _, server := range state.servers {
+		left[server] = server.alone + min(0, server.trend)*foresight.Seconds() - roomGoal
+	}
+	for i := range fillers {
+		for server, room := range left {
+			fillers[i].weight = max(fillers[i].weight, p.harms.harm(server.image, fillers[i].image)/max(leastRoom, room))
 		}
-		left := max(0, 1-excess/adds)
-		wanted[f.key] = int(left*float64(f.pace)) / paceStep * paceStep
-		excess -= adds * (1 - float64(wanted[f.key])/float64(f.pace))
 	}
-}
-
-// speedUp lets slowed fillers go faster as far as all serving tasks have room for it, the
-// least disturbing first.
-func (p *Planner) speedUp(servers []server, fillers []filler, wanted map[pimjob.TaskKey]int) {
-	room := make([]float64, len(servers))
-	for i, s := range servers {
-		room[i] = paceDownAt - s.share
-	}
-	for i := len(fillers) - 1; i >= 0; i-- {
-		f := fillers[i]
-		for pace := fullPace; pace > f.pace; pace -= paceStep {
-			if p.takeRoom(servers, room, f.image, f.cores*float64(pace-f.pace)/fullPace) {
-				wanted[f.key] = pace
-				break
-			}
+	slices.SortStableFunc(fillers, func(a, b filler) int { return cmp.Compare(a.weight, b.weight) })
+	for i := range fillers {
+		f := &fillers[i]
+		for f.wanted = fullPace; f.wanted > 0 && !p.takeRoom(left, f); f.wanted -= paceStep {
 		}
 	}
 }
 
-// takeRoom takes what more cores of a filling image add from the room of all serving
-// tasks, unless one of them has not enough.
-func (p *Planner) takeRoom(servers []server, room []float64, image string, cores float64) bool {
-	for i, s := range servers {
-		if p.harms.harm(s.image, image)*cores > max(0, room[i]) {
+// takeRoom takes what a filler needs at its wanted pace from the room that is left of all
+// serving tasks, unless one of them has not enough.
+func (p *Planner) takeRoom(left map[*server]float64, f *filler) bool {
+	cores := f.cores * float64(f.wanted) / fullPace
+	for server, room := range left {
+		if harm := p.harms.harm(server.image, f.image); harm >= harmless && harm*cores > room {
 			return false
 		}
 	}
-	for i, s := range servers {
-		room[i] -= p.harms.harm(s.image, image) * cores
+	for server := range left {
+		left[server] -= p.harms.harm(server.image, f.image) * cores
 	}
 	return true
 }
 
-func worstServer(servers []server) server {
-	var worst server
-	for _, s := range servers {
-		if s.share >= worst.share {
-			worst = s
+// tightest returns the serving task that is expected to have the least room, or nil.
+func (s *paceState) tightest() *server {
+	var tightest *server
+	for _, key := range slices.SortedFunc(maps.Keys(s.servers), pimjob.CompareKeys) {
+		if server := s.servers[key]; tightest == nil || server.expected() < tightest.expected() {
+			tightest = server
 		}
 	}
-	return worst
+	return tightest
 }
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -57,6 +57,11 @@
 		if h == nil {
 			return planned
 		}
+		if c.starved {
+			// One run is enough to go on; the others wait for a better place.
+			c.starved = false
+			r = p.rank(c, step, "")
+		}
 		planned = append(planned, placed{h, key, step})
 		plan.Starts = append(plan.Starts, pimjob.Start{Key: key, Number: state.Tasks[index].Last + 1, Worker: h.worker.ID, Born: h.worker.Born})
 	}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -33,6 +33,8 @@
 		order []*host
 		jobs  map[string]*waitingJob
 		dirty map[string]bool
+		// running counts the live runs of each job.
+		running map[string]int
 		// failedOn holds the workers on which a task failed.
 		failedOn map[pimjob.TaskKey][]string
 		harms    *harmModel
@@ -74,6 +76,8 @@
 		job     *pimjob.Job
 		steps   []candidate
 		nextDue int64
+		// idleSince is since when the job has had waiting tasks and no run, or 0.
+		idleSince time.Duration
 	}
 
 	// candidate is a step with tasks that may start.
@@ -83,17 +87,26 @@
 		due      int64
 		priority int
 		tasks    []int
+		// starved means that the job has waited for long and nothing of it runs.
+		starved bool
 	}
 )
 
+// starvedAfter is how long a filling step with nothing running waits for a host that
+// it does not disturb. Source: a third of the platform's bound for a job that could run.
+const starvedAfter = time.Second
+
 // NewPlanner returns a planner for a state, which has learned nothing.
 func NewPlanner(state *pimjob.State, workers Workers) *Planner {
 	p := &Planner{
-		state: state, workers: workers, hosts: map[string]*host{}, jobs: map[string]*waitingJob{}, dirty: map[string]bool{},
+		state: state, workers: workers, hosts: map[string]*host{}, jobs: map[string]*waitingJob{}, dirty: map[string]bool{}, running: map[string]int{},
 		failedOn: map[pimjob.TaskKey][]string{}, harms: newHarmModel(),
 	}
 	for _, worker := range state.Workers() {
 		p.putHost(*worker)
+		for key := range state.RunsOn(worker.ID) {
+			p.running[key.Job]++
+		}
 	}
 	for _, job := range state.OpenJobs() {
 		p.dirty[job.Submission.ID] = true
@@ -108,7 +121,7 @@
 		case pimjob.JobAccepted:
 			p.dirty[change.Job.Submission.ID] = true
 		case pimjob.RunStarted:
-			p.onStarted(change.Live, now)
+			p.onStarted(change.Live)
 		case pimjob.RunEnded:
 			p.onEnded(change.Live, change.How, now)
 		case pimjob.JobEnded:
@@ -124,8 +137,9 @@
 	}
 }
 
-func (p *Planner) onStarted(live pimjob.LiveRun, _ time.Duration) {
+func (p *Planner) onStarted(live pimjob.LiveRun) {
 	p.dirty[live.Key.Job] = true
+	p.running[live.Key.Job]++
 	if h := p.hosts[live.Run.Worker]; h != nil {
 		_, step, _ := p.state.Task(live.Key)
 		h.add(live.Key, step)
@@ -134,6 +148,9 @@
 
 func (p *Planner) onEnded(live pimjob.LiveRun, how pimjob.EndKind, now time.Duration) {
 	p.dirty[live.Key.Job] = true
+	if p.running[live.Key.Job]--; p.running[live.Key.Job] <= 0 {
+		delete(p.running, live.Key.Job)
+	}
 	if h := p.hosts[live.Run.Worker]; h != nil && h.worker.Born == live.Run.Born {
 		if _, step, _ := p.state.Task(live.Key); step != nil {
 			h.remove(live.Key, step)
@@ -163,12 +180,12 @@
 // Plan decides what to start, stop and pace. Now is steady, wallClock in milliseconds since 1970.
 func (p *Planner) Plan(now time.Duration, wallClock int64) Plan {
 	var plan Plan
-	p.refreshJobs(wallClock)
+	p.refreshJobs(now, wallClock)
 	for _, h := range p.order {
 		h.open = p.isOpen(h, now)
 	}
 	var planned []placed
-	for _, c := range p.candidates(&plan) {
+	for _, c := range p.candidates(now, &plan) {
 		planned = p.place(c, planned, &plan)
 	}
 	for _, placed := range planned {
@@ -184,7 +201,7 @@
 }
 
 // refreshJobs looks again at the jobs that have changed or whose time has come.
-func (p *Planner) refreshJobs(wallClock int64) {
+func (p *Planner) refreshJobs(now time.Duration, wallClock int64) {
 	for id, waiting := range p.jobs {
 		if waiting.nextDue != 0 && waiting.nextDue <= wallClock {
 			p.dirty[id] = true
@@ -202,7 +219,16 @@
 			delete(p.jobs, id)
 			continue
 		}
+		if known := p.jobs[id]; known != nil {
+			waiting.idleSince = known.idleSince
+		}
 		p.jobs[id] = waiting
+		switch {
+		case p.running[id] > 0 || len(waiting.steps) == 0:
+			waiting.idleSince = 0
+		case waiting.idleSince == 0:
+			waiting.idleSince = now
+		}
 	}
 }
 
@@ -255,11 +281,15 @@
 }
 
 // candidates returns the steps with tasks to start, the most urgent first.
-func (p *Planner) candidates(plan *Plan) []candidate {
+func (p *Planner) candidates(now time.Duration, plan *Plan) []candidate {
 	var candidates []candidate
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		waiting := p.jobs[id]
-		candidates = append(candidates, waiting.steps...)
+		starved := waiting.idleSince != 0 && now-waiting.idleSince >= starvedAfter
+		for _, c := range waiting.steps {
+			c.starved = starved
+			candidates = append(candidates, c)
+		}
 		if waiting.nextDue != 0 && (plan.NextDue == 0 || waiting.nextDue < plan.NextDue) {
 			plan.NextDue = waiting.nextDue
 		}
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -18,7 +18,7 @@
 const (
 	// servingLoad is the share of its processor time that a serving task is taken to
 	// use while nothing is known of it.
-	servingLoad = 0.5
+	servingLoad = 0.42
 	// minFillShare is the least share of its processor time that a filling task must
 	// find unused to be started.
 	minFillShare = 0.7
@@ -29,12 +29,13 @@
 	// affinityBonus outweighs any difference of room: data on another rack slows a task
 	// down by the platform's remote factor.
 	affinityBonus = 10.0
-	// fillGoal is the share of a serving task's target that a new filling task may bring it to.
-	fillGoal = 0.8
 	// sameImageBonus and otherImageMalus bring serving tasks of one image together, so
 	// that some hosts carry only images that bear what fills beside them.
 	sameImageBonus  = 0.2
 	otherImageMalus = 0.3
+	// harmMalus weighs the room that a filling task takes from a serving task against the
+	// share of the host that stays idle.
+	harmMalus = 3.0
 )
 
 // score returns how well a task of a step is placed on a host, and false where it has no room.
@@ -51,19 +52,14 @@
 	switch {
 	case step.Fills:
 		idle := capacity - float64(h.serving)*servingLoad - float64(h.busy) - float64(h.filling)
-		if idle < minFillShare*need {
+		room, takes := h.pacing.roomWith(p.harms, step)
+		if !c.starved && (idle < minFillShare*need || room < fillRoom) {
 			return 0, false
 		}
-		worst := h.pacing.worstWith(p.harms, step)
-		if worst > fillGoal {
-			return 0, false
-		}
-		score += (idle-need)/capacity - worst
+		score += (idle-need)/capacity - harmMalus*takes
 	case step.Target > 0:
 		score += sameImageBonus*float64(h.images[step.Image]) - otherImageMalus*float64(h.holdsOthers(step.Image))
 		score -= float64(h.filling) / capacity
-	case step.Lasting:
-		score += 1 - float64(h.free.Millicores)/capacity
 	default:
 		score += float64(h.free.Millicores) / capacity
 	}
