In overload, jobs that can still be on time come first

Change: within a priority first what can be on time, then what can be late, then the rest, each by due time.

--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -84,8 +84,9 @@
 	candidate struct {
 		job      *pimjob.Job
 		key      stepKey
-		due      int64
+		terms    terms
 		priority int
+		urgency  urgency
 		tasks    []int
 		// starved means that the job has waited for long and nothing of it runs.
 		starved bool
@@ -185,7 +186,7 @@
 		h.open = p.isOpen(h, now)
 	}
 	var planned []placed
-	for _, c := range p.candidates(now, &plan) {
+	for _, c := range p.candidates(now, wallClock, &plan) {
 		planned = p.place(c, planned, &plan)
 	}
 	for _, placed := range planned {
@@ -263,31 +264,21 @@
 		}
 		candidates = append(candidates, candidate{
 			job: job, key: stepKey{job.Submission.ID, occurrence, s}, tasks: tasks,
-			priority: job.Queue.Priority, due: dueBy(job, occurrence),
+			priority: job.Queue.Priority, terms: termsOf(job, occurrence),
 		})
 	}
 	return candidates
 }
 
-// dueBy returns when an occurrence should be done, in milliseconds since 1970: the
-// stretched sum of its steps' estimates and the queue's objective after its beginning.
-func dueBy(job *pimjob.Job, occurrence int) int64 {
-	begin := max(job.AcceptedAt, job.Submission.DueAt(occurrence))
-	var chain time.Duration
-	for i := range job.Submission.Steps {
-		chain += job.Submission.Steps[i].Estimate
-	}
-	return begin + int64(float64(chain.Milliseconds())*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
-}
-
 // candidates returns the steps with tasks to start, the most urgent first.
-func (p *Planner) candidates(now time.Duration, plan *Plan) []candidate {
+func (p *Planner) candidates(now time.Duration, wallClock int64, plan *Plan) []candidate {
 	var candidates []candidate
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		waiting := p.jobs[id]
 		starved := waiting.idleSince != 0 && now-waiting.idleSince >= starvedAfter
 		for _, c := range waiting.steps {
 			c.starved = starved
+			c.urgency = c.terms.urgencyAt(wallClock)
 			candidates = append(candidates, c)
 		}
 		if waiting.nextDue != 0 && (plan.NextDue == 0 || waiting.nextDue < plan.NextDue) {
@@ -295,7 +286,7 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.due, b.due))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.terms.due, b.terms.due))
 	})
 	return candidates
 }
