Runs that stand still or crawl are moved

Change: the planner compares percents between lists with the estimate; what stands still for 1.2 s is stopped, what a slow host would keep for longer than a new start takes too, and the host gets nothing for a while. Tests: TestBadWorkers in virtual time, stalled and slow hosts, fails without the watch; sound hosts move nothing.

--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -20,6 +20,7 @@
 		images                 map[string]int
 		open                   bool
 		pacing                 paceState
+		progress               progressState
 	}
 
 	// placed is a task that a plan puts on a host.
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -135,7 +135,9 @@
 		if h == nil {
 			continue
 		}
-		fillers := h.pacing.observe(p.state, p.harms, p.workers.Rows(id), now)
+		rows := p.workers.Rows(id)
+		p.watch(now, h, rows, plan)
+		fillers := h.pacing.observe(p.state, p.harms, rows, now)
 		if now >= h.pacing.actedAt+paceSettle {
 			p.paceHost(now, h, fillers, plan)
 		}
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -27,6 +27,8 @@
 		runs    map[pimjob.TaskKey]*modelRun
 		fresh   []string
 		closed  map[string]bool
+		// speed is that of a worker's runs, 1 where it is not named.
+		speed map[string]float64
 		// harm is the room that a core of a filling image takes from a serving image.
 		harm map[string]map[string]float64
 		// over counts seconds of serving tasks over their target, and done filling core-seconds.
@@ -37,6 +39,8 @@
 	modelRun struct {
 		live  pimjob.LiveRun
 		pace  int
+		moved time.Duration
+		shown int
 		left  float64
 		phase float64
 		tail  float64
@@ -59,7 +63,7 @@
 func newLoad(t *testing.T, workers int) *load {
 	l := &load{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), state: pimjob.NewState(), now: time.Minute, runs: map[pimjob.TaskKey]*modelRun{},
-		harm: map[string]map[string]float64{}, ends: map[pimjob.EndKind]int{}, closed: map[string]bool{},
+		harm: map[string]map[string]float64{}, ends: map[pimjob.EndKind]int{}, closed: map[string]bool{}, speed: map[string]float64{},
 	}
 	for i := range workers {
 		l.state.Apply(moment, []pimjob.Op{pimjob.PutWorker{Worker: pimjob.Worker{
@@ -82,10 +86,16 @@
 			continue
 		}
 		gauge := run.used * 1000
-		if _, step, _ := l.state.Task(key); step.Target > 0 {
+		_, step, _ := l.state.Task(key)
+		if step.Target > 0 {
 			gauge = run.tail
 		}
-		rows = append(rows, pimfleet.RunView{Row: pimfleet.Row{Key: key, Number: run.live.Run.Number, Gauge: gauge}, At: l.now, Pace: run.pace})
+		percent := int(100 - 100*run.left/max(0.001, step.Estimate.Seconds()*float64(step.Need.Millicores)/1000))
+		if percent != run.shown || run.moved == 0 {
+			run.shown, run.moved = percent, l.now
+		}
+		row := pimfleet.Row{Key: key, Number: run.live.Run.Number, Gauge: gauge, Percent: percent}
+		rows = append(rows, pimfleet.RunView{Row: row, At: l.now, Pace: run.pace, MovedAt: run.moved})
 	}
 	return rows
 }
@@ -147,8 +157,15 @@
 	for _, start := range plan.Starts {
 		l.apply(start)
 	}
+	for _, stop := range plan.Stops {
+		if run := l.runs[stop.Key]; run != nil {
+			l.apply(pimjob.End{Key: stop.Key, Number: stop.Number, Worker: stop.Worker, Born: 1, How: pimjob.EndStopped})
+		}
+	}
 	for _, pace := range plan.Paces {
-		l.runs[pace.Key].pace = pace.Percent
+		if run := l.runs[pace.Key]; run != nil {
+			run.pace = pace.Percent
+		}
 	}
 	return plan
 }
@@ -175,7 +192,7 @@
 		if !step.Fills {
 			continue
 		}
-		run.used = float64(step.Need.Millicores) / 1000 * float64(run.pace) / 100
+		run.used = float64(step.Need.Millicores) / 1000 * float64(run.pace) / 100 * l.speedOf(run)
 		host := used[run.live.Run.Worker]
 		if host == nil {
 			host = map[string]float64{}
@@ -195,7 +212,7 @@
 			l.done += run.used * stepTime.Seconds()
 			run.left -= run.used * stepTime.Seconds()
 		default:
-			run.left -= float64(step.Need.Millicores) / 1000 * stepTime.Seconds()
+			run.left -= float64(step.Need.Millicores) / 1000 * stepTime.Seconds() * l.speedOf(run)
 		}
 		if run.left <= 0 && !step.Lasting {
 			ended = append(ended, pimjob.End{Key: key, Number: run.live.Run.Number, Worker: run.live.Run.Worker, Born: 1, How: pimjob.EndDone})
@@ -204,6 +221,13 @@
 	l.apply(ended...)
 }
 
+func (l *load) speedOf(run *modelRun) float64 {
+	if speed, ok := l.speed[run.live.Run.Worker]; ok {
+		return speed
+	}
+	return 1
+}
+
 func (l *load) serve(run *modelRun, step *pimjob.Step, used map[string]float64) {
 	swing := 1 + loadSwing*math.Sin(run.phase+2*math.Pi*l.now.Seconds()/swingTime)
 	room := freeRoom * (1 - servingLoad*swing)
@@ -339,6 +363,31 @@
 }
 
 func TestBadWorkers(t *testing.T) {
+	for name, speed := range map[string]float64{"stand still": 0, "are slow": 0.14} {
+		t.Run("runs on workers that "+name+" are moved", func(t *testing.T) {
+			l := newLoad(t, 8)
+			l.speed["w00"], l.speed["w01"] = speed, speed
+			long := plain(8, 4)
+			long.Estimate = 3 * time.Second
+			for i := range 10 {
+				l.submit(fmt.Sprintf("job-%d", i), 0, long)
+				l.run(500 * time.Millisecond)
+			}
+			l.run(7 * time.Second)
+			for i := range 10 {
+				assert.Equal(t, l.state.Job(fmt.Sprintf("job-%d", i)).State, pimjob.Completed)
+			}
+			assert.Assert(t, l.ends[pimjob.EndStopped] < 40, "%d runs stopped", l.ends[pimjob.EndStopped])
+		})
+	}
+	t.Run("a sound worker's runs are not moved", func(t *testing.T) {
+		l := newLoad(t, 4)
+		for i := range 30 {
+			l.submit(fmt.Sprintf("job-%02d", i), 0, plain(8, 3), filling("any", 4))
+			l.run(500 * time.Millisecond)
+		}
+		assert.Equal(t, l.ends[pimjob.EndStopped], 0)
+	})
 	fail := func(l *load, match func(run *modelRun) bool) {
 		var ops []pimjob.Op
 		for _, key := range l.keys() {
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -26,6 +26,7 @@
 	failuresToAvoid = 3
 	avoidFirst      = 2 * time.Second
 	avoidMost       = 16 * time.Second
+	maxStrikes      = 3
 	// affinityBonus outweighs any difference of room: data on another rack slows a task
 	// down by the platform's remote factor.
 	affinityBonus = 10.0
@@ -78,10 +79,18 @@
 			r.failedJobs = append(r.failedJobs, live.Key.Job)
 		}
 		if len(r.failedJobs) >= failuresToAvoid {
-			r.badUntil = now + min(avoidMost, avoidFirst<<r.strikes)
-			r.strikes = min(r.strikes+1, 3)
+			r.strike(now)
 			r.failedJobs = r.failedJobs[:failuresToAvoid-1]
 		}
 	default:
 	}
 }
+
+// strike keeps new runs away for a while, longer each time until a run is done there.
+func (r *record) strike(now time.Duration) {
+	if now < r.badUntil {
+		return
+	}
+	r.badUntil = now + min(avoidMost, avoidFirst<<r.strikes)
+	r.strikes = min(r.strikes+1, maxStrikes)
+}
