A run that we slowed to nothing or are stopping does not count as standing still

Change: a change of pace counts as movement; runs that are being stopped are left out. Test: TestRowsTellWhatIsOurDoing.

--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -63,10 +63,13 @@
 
 	// RunView is what a worker last listed of a run.
 	RunView struct {
-		Row     Row
-		At      time.Duration
-		Pace    int
+		Row  Row
+		At   time.Duration
+		Pace int
+		// MovedAt is when the percent last changed, or the pace.
 		MovedAt time.Duration
+		// Stopping is set once the run is to be stopped.
+		Stopping bool
 	}
 )
 
@@ -269,6 +272,7 @@
 	if c := f.contacts[worker]; c != nil {
 		if o := c.orders[runID{key, number}]; o != nil && o.wantPace != percent {
 			o.wantPace = percent
+			o.moved = f.now
 			f.advance(c, o)
 		}
 	}
@@ -410,7 +414,7 @@
 	}
 	var rows []RunView
 	for _, o := range c.sorted(func(o *order) bool { return o.rowAt != 0 }) {
-		rows = append(rows, RunView{Row: o.row, At: o.rowAt, Pace: o.wantPace, MovedAt: o.moved})
+		rows = append(rows, RunView{Row: o.row, At: o.rowAt, Pace: o.wantPace, MovedAt: o.moved, Stopping: o.stopping})
 	}
 	return rows
 }
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -108,3 +108,23 @@
 		})
 	}
 }
+
+// TestRowsTellWhatIsOurDoing: a run that stood still because it was slowed to nothing, or
+// is being stopped, must not look like one that stands still by itself.
+func TestRowsTellWhatIsOurDoing(t *testing.T) {
+	w := newWorld(t, 7, "w1")
+	w.workers["w1"].endless = true
+	w.run(time.Second)
+	w.submit("a", 1)
+	w.run(500 * time.Millisecond)
+	key := pimjob.TaskKey{Job: "a"}
+	w.fleet.Pace("w1", key, 1, 0, w.now)
+	w.run(3 * time.Second)
+	w.fleet.Pace("w1", key, 1, 100, w.now)
+	rows := w.fleet.Rows("w1")
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].MovedAt, w.now)
+	assert.Assert(t, !rows[0].Stopping)
+	w.fleet.Stop("w1", key, 1, w.now)
+	assert.Assert(t, w.fleet.Rows("w1")[0].Stopping)
+}
--- a/internal/job/pimfleet/world_test.go
+++ b/internal/job/pimfleet/world_test.go
@@ -25,6 +25,8 @@
 		sequence int64
 		down     bool
 		cut      bool
+		// endless keeps runs from being done.
+		endless bool
 	}
 
 	fakeRun struct {
@@ -309,6 +311,7 @@
 		switch {
 		case f.clock(now) > f.lease:
 			f.end(key, pimjob.EndLapsed)
+		case f.endless:
 		case now >= run.doneAt && run.fails:
 			f.end(key, pimjob.EndFailed)
 		case now >= run.doneAt:
