Tasks that last keep their turn, and are put on avoided hosts rather than nowhere

Change: tasks that last never become less urgent; hosts that are avoided are the last choice for them and for starved jobs instead of none; tasks away from their data do not count in a host's speed. Tests: three in TestPlace and TestBadWorkers, the first fails without the change.

--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -18,9 +18,10 @@
 		serving, busy, filling int64
 		steps                  map[stepKey]int
 		images                 map[string]int
-		open                   bool
-		pacing                 paceState
-		progress               progressState
+		// open hosts may get runs; avoided ones only those that would otherwise wait for long.
+		open, avoided bool
+		pacing        paceState
+		progress      progressState
 	}
 
 	// placed is a task that a plan puts on a host.
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -184,6 +184,7 @@
 	p.refreshJobs(now, wallClock)
 	for _, h := range p.order {
 		h.open = p.isOpen(h, now)
+		h.avoided = now < h.record.badUntil
 	}
 	var planned []placed
 	for _, c := range p.candidates(now, wallClock, &plan) {
@@ -198,7 +199,7 @@
 
 // isOpen reports whether new runs may go to a host.
 func (p *Planner) isOpen(h *host, now time.Duration) bool {
-	return !h.worker.Draining && !p.state.IsOut(h.worker.Domain) && now >= h.record.badUntil && p.workers.IsUsable(h.worker.ID, now)
+	return !h.worker.Draining && !p.state.IsOut(h.worker.Domain) && p.workers.IsUsable(h.worker.ID, now)
 }
 
 // refreshJobs looks again at the jobs that have changed or whose time has come.
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -282,6 +282,20 @@
 			assert.Equal(t, key.Job, "first")
 		}
 	})
+	t.Run("a task that lasts and lost its worker goes before later jobs of its priority", func(t *testing.T) {
+		l := newLoad(t, 1)
+		l.submit("serve", 0, serving("any", 1))
+		l.plan()
+		l.run(20 * time.Second)
+		key := pimjob.TaskKey{Job: "serve"}
+		for i := range 20 {
+			l.submit(fmt.Sprintf("job-%02d", i), 0, plain(4, 8))
+		}
+		l.plan()
+		l.apply(pimjob.End{Key: key, Number: 1, Worker: "w00", Born: 1, How: pimjob.EndFailed})
+		l.run(3 * time.Second)
+		assert.Assert(t, l.runs[key] != nil)
+	})
 	t.Run("at most so many tasks of a step go to one host", func(t *testing.T) {
 		l := newLoad(t, 4)
 		step := plain(20, 1)
@@ -363,6 +377,15 @@
 }
 
 func TestBadWorkers(t *testing.T) {
+	fail := func(l *load, match func(run *modelRun) bool) {
+		var ops []pimjob.Op
+		for _, key := range l.keys() {
+			if run := l.runs[key]; match(run) {
+				ops = append(ops, pimjob.End{Key: key, Number: run.live.Run.Number, Worker: run.live.Run.Worker, Born: 1, How: pimjob.EndFailed})
+			}
+		}
+		l.apply(ops...)
+	}
 	for name, speed := range map[string]float64{"stand still": 0, "are slow": 0.14} {
 		t.Run("runs on workers that "+name+" are moved", func(t *testing.T) {
 			l := newLoad(t, 8)
@@ -380,6 +403,30 @@
 			assert.Assert(t, l.ends[pimjob.EndStopped] < 40, "%d runs stopped", l.ends[pimjob.EndStopped])
 		})
 	}
+	t.Run("a task that lasts goes to an avoided worker rather than nowhere", func(t *testing.T) {
+		l := newLoad(t, 1)
+		for i := range 4 {
+			l.submit(fmt.Sprintf("job-%d", i), 0, plain(1, 1))
+			l.plan()
+			fail(l, func(*modelRun) bool { return true })
+		}
+		l.submit("plain", 0, plain(1, 1))
+		l.submit("serve", 0, serving("any", 1))
+		l.plan()
+		assert.Equal(t, len(l.runs), 1)
+		assert.Equal(t, l.keys()[0].Job, "serve")
+	})
+	t.Run("a task away from its data does not make its worker slow", func(t *testing.T) {
+		l := newLoad(t, 8)
+		for i := range 8 {
+			l.speed[fmt.Sprintf("w%02d", i)] = 0.28
+		}
+		step := plain(4, 2)
+		step.Affinity, step.Estimate = "rack-nowhere", 3*time.Second
+		l.submit("a", 0, step)
+		l.run(8 * time.Second)
+		assert.Equal(t, l.ends[pimjob.EndStopped], 0)
+	})
 	t.Run("a sound worker's runs are not moved", func(t *testing.T) {
 		l := newLoad(t, 4)
 		for i := range 30 {
@@ -388,15 +435,6 @@
 		}
 		assert.Equal(t, l.ends[pimjob.EndStopped], 0)
 	})
-	fail := func(l *load, match func(run *modelRun) bool) {
-		var ops []pimjob.Op
-		for _, key := range l.keys() {
-			if run := l.runs[key]; match(run) {
-				ops = append(ops, pimjob.End{Key: key, Number: run.live.Run.Number, Worker: run.live.Run.Worker, Born: 1, How: pimjob.EndFailed})
-			}
-		}
-		l.apply(ops...)
-	}
 	t.Run("a worker that fails the tasks of several jobs is avoided", func(t *testing.T) {
 		l := newLoad(t, 4)
 		for i := range 12 {
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -30,7 +30,7 @@
 	stallShare = 0.3
 	// slowSpeed is the speed below which a host counts as slow. Estimates are off by a
 	// third at most; the users' platform shows slow hosts at a quarter of their speed and less.
-	slowSpeed = 0.35
+	slowSpeed = 0.3
 	// speedWeight is that of a new figure in a host's speed; slowSamples are needed to judge.
 	speedWeight = 0.3
 	slowSamples = 3
@@ -53,7 +53,7 @@
 		}
 		mark, ok := state.marks[key]
 		if !ok || now-mark.at >= minGap {
-			if ok && !step.Fills {
+			if ok && !step.Fills && isNearData(step, h) {
 				state.note(float64(view.Row.Percent-mark.percent) / 100 * step.Estimate.Seconds() / (now - mark.at).Seconds())
 			}
 			mark = progressMark{view.Row.Percent, now}
@@ -75,6 +75,11 @@
 	}
 }
 
+// isNearData reports whether a task of the step works at its full speed on a sound host.
+func isNearData(step *pimjob.Step, h *host) bool {
+	return step.Affinity == "" || h.worker.HasLabel(step.Affinity)
+}
+
 // note takes in the speed of a run over some time.
 func (s *progressState) note(speed float64) {
 	if s.known == 0 {
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -30,6 +30,8 @@
 	// affinityBonus outweighs any difference of room: data on another rack slows a task
 	// down by the platform's remote factor.
 	affinityBonus = 10.0
+	// avoidedMalus makes an avoided host the last choice.
+	avoidedMalus = 100.0
 	// sameImageBonus and otherImageMalus bring serving tasks of one image together, so
 	// that some hosts carry only images that bear what fills beside them.
 	sameImageBonus  = 0.2
@@ -45,6 +47,12 @@
 		return 0, false
 	}
 	score := 0.0
+	if h.avoided {
+		if !c.starved && !step.Lasting {
+			return 0, false
+		}
+		score -= avoidedMalus
+	}
 	if step.Affinity != "" && h.worker.HasLabel(step.Affinity) {
 		score += affinityBonus
 	}
--- a/internal/job/pimplan/terms.go
+++ b/internal/job/pimplan/terms.go
@@ -9,6 +9,8 @@
 		due  int64
 		last int64
 		left int64
+		// lasts is set for tasks that last, which earn as long as they run.
+		lasts bool
 	}
 
 	// urgency orders jobs of one priority while there is not room for all: those that
@@ -31,19 +33,23 @@
 func termsOf(job *pimjob.Job, occurrence int) terms {
 	begin := max(job.AcceptedAt, job.Submission.DueAt(occurrence))
 	var chain, left int64
+	lasts := false
 	for i := range job.Submission.Steps {
 		estimate := job.Submission.Steps[i].Estimate.Milliseconds()
 		chain += estimate
+		lasts = lasts || job.Submission.Steps[i].Lasting
 		if job.Occurrences[occurrence].Steps[i].Open > 0 {
 			left += estimate
 		}
 	}
 	objective := int64(float64(chain)*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
-	return terms{due: begin + objective, last: begin + lateFactor*objective, left: left}
+	return terms{due: begin + objective, last: begin + lateFactor*objective, left: left, lasts: lasts}
 }
 
 func (t terms) urgencyAt(wallClock int64) urgency {
 	switch end := wallClock + t.left; {
+	case t.lasts:
+		return canBeOnTime
 	case end <= t.due:
 		return canBeOnTime
 	case end <= t.last:
