Planning stays within a fifth of the processor in overload

Change: a need that found no host in a plan stands for all larger ones of its shape; the pause after a plan is four times what it took.

--- a/internal/job/pimcontrol/lead.go
+++ b/internal/job/pimcontrol/lead.go
@@ -66,6 +66,8 @@
 	// planInterval is the least time between plans, so that ends and jobs that come
 	// together are planned together.
 	planInterval = 8 * time.Millisecond
+	// planRest keeps planning to a fifth of the processor when there is much to plan.
+	planRest = 4
 	// replanInterval is the most time between plans, for what changes without an event.
 	replanInterval = 250 * time.Millisecond
 )
@@ -210,8 +212,10 @@
 		return
 	}
 	l.dirty = false
-	l.planAt = c.now + planInterval
 	plan := l.planner.Plan(c.now, time.Now().UnixMilli())
+	now := pimclock.Now()
+	l.planAt = now + max(planInterval, planRest*(now-c.now))
+	c.now = now
 	for _, start := range plan.Starts {
 		l.gathered.ops = append(l.gathered.ops, start)
 		c.logger.Debug().Stringer("task", start.Key).Int("run", start.Number).Str("worker", start.Worker).Msg("placed")
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -8,6 +8,16 @@
 )
 
 type (
+	// shape is what decides whether a step fits anywhere, its size aside.
+	shape struct {
+		service, requirement, image string
+		fills                       bool
+	}
+
+	// refusals are the needs for which a plan found no host, by shape. A need that is as
+	// large in every resource finds none either.
+	refusals map[shape][]pimjob.Resources
+
 	// ranking is a heap of hosts for the tasks of one step, the best first.
 	ranking struct {
 		rows []ranked
@@ -43,13 +53,42 @@
 	return last
 }
 
+func shapeOf(c candidate, step *pimjob.Step) shape {
+	s := shape{service: c.job.Queue.Service, requirement: step.Requirement, fills: step.Fills}
+	if step.Fills {
+		s.image = step.Image
+	}
+	return s
+}
+
+// covers reports whether a step is known to find no host.
+func (r refusals) covers(c candidate, step *pimjob.Step) bool {
+	if c.starved || step.Lasting {
+		return false
+	}
+	for _, refused := range r[shapeOf(c, step)] {
+		if step.Need.Fits(refused) {
+			return true
+		}
+	}
+	return false
+}
+
 // place starts the tasks of a step as far as there is room.
-func (p *Planner) place(c candidate, planned []placed, plan *Plan) []placed {
+func (p *Planner) place(c candidate, refused refusals, planned []placed, plan *Plan) []placed {
 	step := &c.job.Submission.Steps[c.key.step]
+	if refused.covers(c, step) {
+		return planned
+	}
 	if step.Gang {
 		return p.placeGang(c, step, planned, plan)
 	}
 	r := p.rank(c, step, "")
+	if r.Len() == 0 && step.MaxPerWorker == 0 && !c.starved {
+		at := shapeOf(c, step)
+		refused[at] = append(refused[at], step.Need)
+		return planned
+	}
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	for _, index := range c.tasks {
 		key := c.task(index)
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -187,8 +187,9 @@
 		h.avoided = now < h.record.badUntil
 	}
 	var planned []placed
+	refused := refusals{}
 	for _, c := range p.candidates(now, wallClock, &plan) {
-		planned = p.place(c, planned, &plan)
+		planned = p.place(c, refused, planned, &plan)
 	}
 	for _, placed := range planned {
 		placed.host.remove(placed.key, placed.step)
