--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -104,7 +104,7 @@
 	c := &contact{touched: true, worker: worker, orders: map[runID]*order{}, lapsesAt: f.now + stretch(f.policy.Lease) + lapseMargin}
 	for key, live := range f.state.RunsOn(worker.ID) {
 		if live.Run.Born == worker.Born {
-			c.orders[runID{key, live.Run.Number}] = &order{live: live, state: inherited, pace: 100, wantPace: 100, moved: f.now}
+			c.orders[runID{key, live.Run.Number}] = &order{live: live, state: inherited, pace: 100, wantPace: 100}
 		}
 	}
 	f.contacts[worker.ID] = c
@@ -193,7 +193,7 @@
 	if c == nil || c.worker.Born != live.Run.Born {
 		return
 	}
-	o := &order{live: live, state: starting, pace: 100, wantPace: 100, moved: f.now}
+	o := &order{live: live, state: starting, pace: 100, wantPace: 100}
 	c.orders[runID{live.Key, live.Run.Number}] = o
 	f.advance(c, o)
 }
@@ -272,7 +272,7 @@
 	if c := f.contacts[worker]; c != nil {
 		if o := c.orders[runID{key, number}]; o != nil && o.wantPace != percent {
 			o.wantPace = percent
-			o.moved = f.now
+			o.moved = 0
 			f.advance(c, o)
 		}
 	}
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -105,15 +105,15 @@
 }
 
 func (f *Fleet) takeRow(c *contact, o *order, row Row) {
-	if o.rowAt == 0 || row.Percent != o.row.Percent || row.Saved != o.row.Saved {
-		o.moved = f.now
+	if o.moved == 0 || row.Percent != o.row.Percent || row.Saved != o.row.Saved {
+		o.moved = c.clock
 	}
 	if row.Saved != "" && row.Saved != o.row.Saved {
 		if task, _, _ := f.state.Task(row.Key); task != nil && task.Saved != row.Saved {
 			f.ops = append(f.ops, pimjob.Save{Key: row.Key, Number: row.Number, Saved: row.Saved})
 		}
 	}
-	o.row, o.rowAt = row, f.now
+	o.row, o.rowAt = row, c.clock
 	if o.state == inherited || o.state == starting {
 		f.confirm(o)
 	}
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -132,11 +132,12 @@
 		settledAt time.Duration
 		confirmed time.Duration
 		stopping  bool
-		row       Row
-		rowAt     time.Duration
-		moved     time.Duration
-		pace      int
-		wantPace  int
+		// row is what was listed last, rowAt and moved are on the worker's clock.
+		row      Row
+		rowAt    time.Duration
+		moved    time.Duration
+		pace     int
+		wantPace int
 	}
 
 	orderState uint8
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -14,6 +14,7 @@
 	// paceState is what is known of the serving and filling tasks of a host, and what was
 	// last done about them.
 	paceState struct {
+		// seenAt is on the worker's clock, the others on the daemon's.
 		seenAt  time.Duration
 		actedAt time.Duration
 		// calmAt is when all serving tasks were last below their targets.
@@ -166,7 +167,11 @@
 			rooms[view.Row.Key] = &server{image: step.Image, room: float64(step.Target.Milliseconds()) / view.Row.Gauge}
 		}
 	}
-	gap := now - s.seenAt
+	listedAt := now
+	for _, view := range rows {
+		listedAt = view.At
+	}
+	gap := listedAt - s.seenAt
 	if gap < minGap && len(s.servers) > 0 {
 		// The figures cover the same time as the last ones; only rooms are taken over.
 		for key, fresh := range rooms {
@@ -177,7 +182,7 @@
 		return fillers
 	}
 	s.compare(harms, rooms, cores, gap)
-	s.seenAt, s.servers, s.cores = now, rooms, cores
+	s.seenAt, s.servers, s.cores = listedAt, rooms, cores
 	clear(s.coming)
 	return fillers
 }
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -52,14 +52,14 @@
 			continue
 		}
 		mark, ok := state.marks[key]
-		if !ok || now-mark.at >= minGap {
-			if ok && !step.Fills && isNearData(step, h) {
-				state.note(float64(view.Row.Percent-mark.percent) / 100 * step.Estimate.Seconds() / (now - mark.at).Seconds())
+		if !ok || view.At-mark.at >= minGap {
+			if ok && !step.Fills && isNearData(step, h) && mark.percent > 0 {
+				state.note(float64(view.Row.Percent-mark.percent) / 100 * step.Estimate.Seconds() / (view.At - mark.at).Seconds())
 			}
-			mark = progressMark{view.Row.Percent, now}
+			mark = progressMark{view.Row.Percent, view.At}
 		}
 		marks[key] = mark
-		if now-view.MovedAt > max(stallLeast, time.Duration(stallShare*float64(step.Estimate))) {
+		if view.At-view.MovedAt > max(stallLeast, time.Duration(stallShare*float64(step.Estimate))) {
 			// A filling task may find no processor time on a sound host.
 			stalled = stalled || !step.Fills
 			plan.Stops = append(plan.Stops, Stop{Worker: h.worker.ID, Key: key, Number: view.Row.Number, Why: "stands still"})
@@ -83,7 +83,7 @@
 // note takes in the speed of a run over some time.
 func (s *progressState) note(speed float64) {
 	if s.known == 0 {
-		s.speed = speed
+		s.speed = 1
 	}
 	s.speed += speedWeight * (speed - s.speed)
 	s.known++
