Fewer hosts are looked at for filling tasks in overload

Change: the room of a host for an image is kept until something changes; hosts without idle processor time are left out first; a plan gives up on filling steps after 40 that found no host.

--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -26,6 +26,13 @@
 		coming map[string]float64
 		// listed are the cores by image that the filling tasks on the last list ask for.
 		listed map[string]float64
+		// rooms keeps what roomFor found until something changes.
+		rooms map[string]imageRoom
+	}
+
+	// imageRoom is what a host's serving tasks have for a filling image.
+	imageRoom struct {
+		room, harm, worst float64
 	}
 
 	// server is a serving task: its image, its room (target divided by tail), its room
@@ -96,6 +103,7 @@
 	if s.coming == nil {
 		s.coming = map[string]float64{}
 	}
+	s.rooms = map[string]imageRoom{}
 	s.coming[step.Image] = max(0, s.coming[step.Image]+float64(sign)*float64(step.Need.Millicores)/millisPerCore)
 }
 
@@ -108,24 +116,38 @@
 // low once a filling task works beside it, and the most that this one takes of any.
 func (s *paceState) roomWith(harms *harmModel, step *pimjob.Step) (least, takes float64) {
 	cores := float64(step.Need.Millicores) / millisPerCore
-	least = fastAbove
+	known, ok := s.rooms[step.Image]
+	if !ok {
+		if s.rooms == nil {
+			s.rooms = map[string]imageRoom{}
+		}
+		known = s.roomFor(harms, step.Image)
+		s.rooms[step.Image] = known
+	}
+	return known.room - known.harm*cores, known.worst * cores
+}
+
+// roomFor returns the least room of the serving tasks that an image disturbs, and the
+// greatest harm of a core of it to one of them and to any.
+func (s *paceState) roomFor(harms *harmModel, image string) imageRoom {
+	found := imageRoom{room: fastAbove}
 	for _, server := range s.servers {
-		harm := harms.harm(server.image, step.Image)
-		own := harm * cores
-		takes = max(takes, own)
+		harm := harms.harm(server.image, image)
+		found.worst = max(found.worst, harm)
 		if harm < harmless {
 			continue
 		}
-		room := min(server.low, server.alone) - own
-		for image, others := range s.listed {
-			room -= harms.harm(server.image, image) * others
+		room := min(server.low, server.alone)
+		for other, cores := range s.listed {
+			room -= harms.harm(server.image, other) * cores
 		}
-		for image, others := range s.coming {
-			room -= harms.harm(server.image, image) * others
+		for other, cores := range s.coming {
+			room -= harms.harm(server.image, other) * cores
 		}
-		least = min(least, room)
+		found.room = min(found.room, room)
+		found.harm = max(found.harm, harm)
 	}
-	return least, takes
+	return found
 }
 
 // pace slows the filling tasks that disturb a serving task near its target, the most
@@ -152,6 +174,7 @@
 	cores := make([]float64, maxImages)
 	rooms := map[pimjob.TaskKey]*server{}
 	s.listed = map[string]float64{}
+	s.rooms = map[string]imageRoom{}
 	for _, view := range rows {
 		_, step, _ := state.Task(view.Row.Key)
 		switch {
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -74,10 +74,23 @@
 	return false
 }
 
+// maxRefused is how many filling steps may find no host before a plan looks at no more.
+const maxRefused = 40
+
+func (r refusals) fillers() int {
+	count := 0
+	for shape, needs := range r {
+		if shape.fills {
+			count += len(needs)
+		}
+	}
+	return count
+}
+
 // place starts the tasks of a step as far as there is room.
 func (p *Planner) place(c candidate, refused refusals, planned []placed, plan *Plan) []placed {
 	step := &c.job.Submission.Steps[c.key.step]
-	if refused.covers(c, step) {
+	if refused.covers(c, step) || (step.Fills && !c.starved && refused.fillers() >= maxRefused) {
 		return planned
 	}
 	if step.Gang {
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -61,8 +61,11 @@
 	switch {
 	case step.Fills:
 		idle := capacity - float64(h.serving)*servingLoad - float64(h.busy) - float64(h.filling)
+		if !c.starved && idle < minFillShare*need {
+			return 0, false
+		}
 		room, takes := h.pacing.roomWith(p.harms, step)
-		if !c.starved && (idle < minFillShare*need || room < fillRoom) {
+		if !c.starved && room < fillRoom {
 			return 0, false
 		}
 		score += (idle-need)/capacity - harmMalus*takes
