--- a/internal/job/pimcontrol/lead.go
+++ b/internal/job/pimcontrol/lead.go
@@ -66,8 +66,8 @@
 	// planInterval is the least time between plans, so that ends and jobs that come
 	// together are planned together.
 	planInterval = 8 * time.Millisecond
-	// planRest keeps planning to a fifth of the processor when there is much to plan.
-	planRest = 4
+	// planRest keeps planning to a third of the processor when there is much to plan.
+	planRest = 2
 	// replanInterval is the most time between plans, for what changes without an event.
 	replanInterval = 250 * time.Millisecond
 )
