Control daemons are tested with a cut network and a full disk

TestControl: a leader that is cut off answers no read and accepts nothing; a daemon whose disk was full counts for the majority again. The first fails on a scratch copy that answers reads without the round of questions. Seam: Settings.OpenFile.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -40,6 +41,8 @@
 		// Tolerate is how many voters may be lost at once.
 		Tolerate int
 		Fleet    pimfleet.Policy
+		// OpenFile opens segments of the log; nil is the real disk.
+		OpenFile pimlog.OpenFile
 	}
 
 	// Workers makes calls to workers. Call blocks until the answer or its own timeout.
@@ -72,6 +75,7 @@
 
 		logBytes  int
 		lead      *lead
+		leads     atomic.Bool
 		wasLeader string
 		stopping  bool
 		handedAt  time.Duration
@@ -137,7 +141,11 @@
 
 // open reads the log and makes the replica and the state from it.
 func (c *Control) open() error {
-	store, saved, err := pimlog.Open(filepath.Join(c.settings.DataDir, logFolder), pimlog.OpenSegment)
+	openFile := c.settings.OpenFile
+	if openFile == nil {
+		openFile = pimlog.OpenSegment
+	}
+	store, saved, err := pimlog.Open(filepath.Join(c.settings.DataDir, logFolder), openFile)
 	if err != nil {
 		return err
 	}
@@ -165,6 +173,9 @@
 // ID returns the daemon's member id: its peer address and the life of its disk.
 func (c *Control) ID() string { return c.id }
 
+// Leads reports whether the daemon leads, as of its last event.
+func (c *Control) Leads() bool { return c.leads.Load() }
+
 // SetTransport sets where messages go and who asks on behalf of this daemon's own callers.
 func (c *Control) SetTransport(transport pimforward.Sender, forwarder *pimforward.Forwarder) {
 	c.transport, c.forwarder = transport, forwarder
@@ -350,6 +361,7 @@
 		c.tickLead(ctx)
 		c.flush()
 	}
+	c.leads.Store(c.lead != nil && c.lead.ready)
 	c.handOver()
 }
 
--- /dev/null
+++ b/internal/job/pimcontrol/control_test.go
@@ -0,0 +1,202 @@
+package pimcontrol_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimmetric"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimask"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcontrol"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
+)
+
+type (
+	// group is three control daemons in one process, joined by a network that can be cut.
+	group struct {
+		t       *testing.T
+		mutex   sync.Mutex
+		members map[string]*member
+		order   []string
+	}
+
+	member struct {
+		address   string
+		control   *pimcontrol.Control
+		forwarder *pimforward.Forwarder
+		full      atomic.Bool
+		cut       atomic.Bool
+	}
+
+	// link sends on behalf of one member.
+	link struct {
+		group *group
+		from  string
+	}
+
+	// fullFile refuses writes while its member's disk is full.
+	fullFile struct {
+		pimlog.File
+		member *member
+	}
+
+	noWorkers struct{}
+)
+
+const patience = 15 * time.Second
+
+var errDiskFull = errors.New("no space left on device")
+
+// Call answers for workers that can't be reached.
+func (noWorkers) Call(_ context.Context, call pimfleet.Call) pimfleet.Result {
+	return pimfleet.Result{Call: call}
+}
+
+// Write fails while the disk is full.
+func (f fullFile) Write(data []byte) (int, error) {
+	if f.member.full.Load() {
+		return 0, errDiskFull
+	}
+	return f.File.Write(data)
+}
+
+// Send hands a message to the member at an address unless one of the two is cut off.
+func (l link) Send(address, to string, message pimmessage.Peer) {
+	l.group.mutex.Lock()
+	from, target := l.group.members[l.from], l.group.members[address]
+	l.group.mutex.Unlock()
+	if target == nil || from.cut.Load() || target.cut.Load() {
+		return
+	}
+	target.control.Receive(from.control.ID(), to, message)
+}
+
+func newGroup(t *testing.T) *group {
+	t.Helper()
+	g := &group{t: t, members: map[string]*member{}, order: []string{"a:1", "b:1", "c:1"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var ends []<-chan error
+	for _, address := range g.order {
+		m := &member{address: address}
+		logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+		settings := pimcontrol.Settings{
+			Address: address, DataDir: t.TempDir(), Found: true, Founders: g.order, Tolerate: 1,
+			Fleet: pimfleet.Policy{Lease: time.Second, Wait: time.Second},
+			OpenFile: func(path string) (pimlog.File, error) {
+				file, err := pimlog.OpenSegment(path)
+				return fullFile{file, m}, err
+			},
+		}
+		control, err := pimcontrol.New(settings, noWorkers{}, pimmetric.NewMetrics(), logger)
+		assert.NilError(t, err)
+		m.control = control
+		m.forwarder = pimforward.NewForwarder(control.ID(), g.order, control, logger)
+		control.SetTransport(link{g, address}, m.forwarder)
+		g.members[address] = m
+	}
+	for _, address := range g.order {
+		ends = append(ends, pimroutine.Start(ctx, g.members[address].control.Run), pimroutine.Start(ctx, g.members[address].forwarder.Run))
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, end := range ends {
+			assert.NilError(t, <-end)
+		}
+	})
+	return g
+}
+
+func (m *member) ask(ask pimask.Ask, deadline time.Duration) (pimask.Answer, error) {
+	return m.forwarder.Ask(context.Background(), ask, pimforward.Terms{Patience: deadline, Deadline: deadline})
+}
+
+// put stores a configuration at some member, however often that takes.
+func (g *group) put(at string, version int64) {
+	g.t.Helper()
+	config := pimjob.Config{Version: version, Text: fmt.Appendf(nil, "version %d", version)}
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		answer, err := g.members[at].ask(pimask.PutConfig{Config: config}, time.Second)
+		if _, done := answer.(pimask.Done); err == nil && done {
+			return
+		}
+	}
+	g.t.Fatalf("version %d was not stored", version)
+}
+
+func (g *group) assertReads(at string, version int64) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		answer, err := g.members[at].ask(pimask.GetConfig{}, time.Second)
+		if text, ok := answer.(pimask.ConfigText); err == nil && ok {
+			assert.Equal(g.t, string(text.Text), fmt.Sprintf("version %d", version))
+			return
+		}
+	}
+	g.t.Fatalf("no answer at %s", at)
+}
+
+// leader returns the address of the member that others ask.
+func (g *group) leader() string {
+	g.t.Helper()
+	g.put("a:1", 1)
+	for _, address := range g.order {
+		if g.members[address].control.Leads() {
+			return address
+		}
+	}
+	g.t.Fatal("nobody leads")
+	return ""
+}
+
+func (g *group) others(of string) []string {
+	var others []string
+	for _, address := range g.order {
+		if address != of {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+func TestControl(t *testing.T) {
+	t.Run("a leader that is cut off answers no read and accepts nothing", func(t *testing.T) {
+		g := newGroup(t)
+		leader := g.leader()
+		old := g.members[leader]
+		old.cut.Store(true)
+		answer, err := old.ask(pimask.GetConfig{}, 400*time.Millisecond)
+		assert.Assert(t, err != nil, "%v", answer)
+		config := pimjob.Config{Version: 9, Text: []byte("version 9")}
+		_, err = old.ask(pimask.PutConfig{Config: config}, 400*time.Millisecond)
+		assert.Assert(t, err != nil)
+		g.put(g.others(leader)[0], 10)
+		old.cut.Store(false)
+		g.assertReads(leader, 10)
+	})
+	t.Run("a daemon whose disk is full comes back when it is not", func(t *testing.T) {
+		g := newGroup(t)
+		leader := g.leader()
+		g.members[leader].full.Store(true)
+		others := g.others(leader)
+		g.put(others[0], 2)
+		g.members[leader].full.Store(false)
+		// Without the one that came back there is no majority left.
+		time.Sleep(time.Second)
+		g.members[others[0]].cut.Store(true)
+		g.put(others[1], 3)
+		g.assertReads(leader, 3)
+	})
+}
