A job that every worker refuses waits a second after eight starts

Cause: read from the code: a refused start is tried again at the next plan, so a queue whose starts need what we can't give yet (a ticket) would order starts a hundred times a second. Change: after each eight refused starts in a row the job waits for a second. Test: TestBadWorkers 'a job that all workers refuse'; fails without the wait.

--- a/internal/job/pimcontrol/identity.go
+++ b/internal/job/pimcontrol/identity.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/state/pimlog"
 )
 
 // identity is kept beside the log. ID tells the lives of a disk apart, so that a daemon
@@ -68,7 +69,7 @@
 	if err := os.Rename(path+".new", path); err != nil {
 		return pimcode.New(pimcode.DiskFailed, "%v", err)
 	}
-	return syncFolder(folder)
+	return pimlog.SyncFolder(folder)
 }
 
 func writeSynced(path string, data []byte) error {
@@ -82,15 +83,3 @@
 	}
 	return file.Sync()
 }
-
-func syncFolder(folder string) error {
-	file, err := os.Open(folder)
-	if err != nil {
-		return pimcode.New(pimcode.DiskFailed, "%v", err)
-	}
-	defer file.Close()
-	if err := file.Sync(); err != nil {
-		return pimcode.New(pimcode.DiskFailed, "sync folder %q: %v", folder, err)
-	}
-	return nil
-}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -38,6 +38,10 @@
 		// failedOn holds the workers on which a task failed.
 		failedOn map[pimjob.TaskKey][]string
 		harms    *harmModel
+		// refusals counts the starts of a job that workers refused since one was carried
+		// out, holds until when it waits therefore.
+		refusals map[string]int
+		holds    map[string]time.Duration
 	}
 
 	// Plan is what is to be done.
@@ -97,11 +101,19 @@
 // it does not disturb. Source: a third of the platform's bound for a job that could run.
 const starvedAfter = time.Second
 
+const (
+	// refusalsToWait is how many starts of a job in a row may be refused before it waits for
+	// refusedWait, so that what no worker takes does not keep all of them busy.
+	refusalsToWait = 8
+	refusedWait    = time.Second
+)
+
 // NewPlanner returns a planner for a state, which has learned nothing.
 func NewPlanner(state *pimjob.State, workers Workers) *Planner {
 	p := &Planner{
 		state: state, workers: workers, hosts: map[string]*host{}, jobs: map[string]*waitingJob{}, dirty: map[string]bool{}, running: map[string]int{},
 		failedOn: map[pimjob.TaskKey][]string{}, harms: newHarmModel(),
+		refusals: map[string]int{}, holds: map[string]time.Duration{},
 	}
 	for _, worker := range state.Workers() {
 		p.putHost(*worker)
@@ -158,6 +170,11 @@
 		}
 		h.record.onEnd(live, how, now)
 	}
+	if how != pimjob.EndRefused {
+		delete(p.refusals, live.Key.Job)
+	} else if p.refusals[live.Key.Job]++; p.refusals[live.Key.Job]%refusalsToWait == 0 {
+		p.holds[live.Key.Job] = now + refusedWait
+	}
 	switch how {
 	case pimjob.EndDone:
 		delete(p.failedOn, live.Key)
@@ -171,6 +188,8 @@
 func (p *Planner) forget(job *pimjob.Job) {
 	delete(p.jobs, job.Submission.ID)
 	delete(p.dirty, job.Submission.ID)
+	delete(p.refusals, job.Submission.ID)
+	delete(p.holds, job.Submission.ID)
 	for key := range p.failedOn {
 		if key.Job == job.Submission.ID {
 			delete(p.failedOn, key)
@@ -277,6 +296,9 @@
 	var candidates []candidate
 	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
 		waiting := p.jobs[id]
+		if now < p.holds[id] {
+			continue
+		}
 		starved := waiting.idleSince != 0 && now-waiting.idleSince >= starvedAfter
 		for _, c := range waiting.steps {
 			c.starved = starved
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -427,6 +427,19 @@
 		l.run(8 * time.Second)
 		assert.Equal(t, l.ends[pimjob.EndStopped], 0)
 	})
+	t.Run("a job that all workers refuse does not keep them busy", func(t *testing.T) {
+		l := newLoad(t, 4)
+		l.submit("unwanted", 0, plain(1, 1))
+		for range 50 {
+			l.run(100 * time.Millisecond)
+			for _, key := range l.keys() {
+				run := l.runs[key].live.Run
+				l.apply(pimjob.End{Key: key, Number: run.Number, Worker: run.Worker, Born: 1, How: pimjob.EndRefused})
+			}
+		}
+		assert.Assert(t, l.ends[pimjob.EndRefused] <= 5*8+8, "%d starts were refused", l.ends[pimjob.EndRefused])
+		assert.Assert(t, l.ends[pimjob.EndRefused] >= 8, "%d starts were refused", l.ends[pimjob.EndRefused])
+	})
 	t.Run("a sound worker's runs are not moved", func(t *testing.T) {
 		l := newLoad(t, 4)
 		for i := range 30 {
--- a/internal/state/pimlog/store.go
+++ b/internal/state/pimlog/store.go
@@ -265,7 +265,7 @@
 	if err := os.Rename(temporary, filepath.Join(s.folder, snapshotName)); err != nil {
 		return pimcode.New(pimcode.DiskFailed, "%v", err)
 	}
-	return syncFolder(s.folder)
+	return SyncFolder(s.folder)
 }
 
 func (s *Store) forgetUpTo(snapshot pimconsensus.Snapshot) {
@@ -300,7 +300,7 @@
 	if err := s.writeFrame(segment, payload); err != nil {
 		return err
 	}
-	if err := syncFolder(s.folder); err != nil {
+	if err := SyncFolder(s.folder); err != nil {
 		return err
 	}
 	return s.removeSegmentsBefore(name)
@@ -325,7 +325,8 @@
 // Close closes the open segment.
 func (s *Store) Close() error { return s.segment.Close() }
 
-func syncFolder(folder string) error {
+// SyncFolder makes the names in a folder durable.
+func SyncFolder(folder string) error {
 	file, err := os.Open(folder)
 	if err != nil {
 		return pimcode.New(pimcode.DiskFailed, "%v", err)
