--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -115,10 +115,7 @@
 	orderQueue  = 8192
 	// joinInterval is the time between questions to be taken in as a member.
 	joinInterval = 300 * time.Millisecond
-	// compactEntries and compactBytes are how much log is kept before a snapshot replaces it.
-	compactEntries = 2000
-	compactBytes   = 4 << 20
-	handoverWait   = time.Second
+	handoverWait = time.Second
 	// reopenPause is the time between tries to read a disk that failed.
 	reopenPause = 300 * time.Millisecond
 	logFolder   = "jobs"
@@ -375,94 +372,3 @@
 	}
 	return next
 }
-
-// flush sends, stores and applies what the replica produced.
-func (c *Control) flush() {
-	for range 4 {
-		output := c.replica.Take()
-		c.send(output.Immediate)
-		if output.Restore != nil {
-			c.restore(*output.Restore)
-		}
-		c.applyCommitted(output.Committed)
-		c.disk.add(output)
-		c.send(c.disk.next())
-		if len(output.Committed) == 0 && len(output.Immediate) == 0 {
-			return
-		}
-	}
-}
-
-func (c *Control) send(envelopes []pimconsensus.Envelope) {
-	for _, envelope := range envelopes {
-		body, err := pimmessage.Encode(envelope.Message)
-		if err != nil {
-			c.logger.Error().Err(err).Msg("consensus message can't be encoded")
-			continue
-		}
-		c.transport.Send(pimforward.AddressOf(envelope.To), envelope.To, pimmessage.Consensus{Group: pimforward.GroupName, Body: body})
-	}
-}
-
-func (c *Control) restore(snapshot pimconsensus.Snapshot) {
-	state, err := pimjob.Restore(snapshot.Data)
-	if err != nil {
-		c.logger.Error().Err(err).Uint64("index", snapshot.Index).Msg("snapshot can't be read")
-		return
-	}
-	c.state = state
-	c.logBytes = 0
-	c.logger.Info().Uint64("index", snapshot.Index).Msg("state was taken over from the leader")
-}
-
-func (c *Control) applyCommitted(entries []pimconsensus.Entry) {
-	for _, entry := range entries {
-		c.logBytes += len(entry.Data)
-		if entry.Kind != pimconsensus.EntryCommand {
-			continue
-		}
-		at, ops, err := pimjob.DecodeBatch(entry.Data)
-		if err != nil {
-			c.logger.Error().Err(err).Uint64("index", entry.Index).Msg("entry can't be read")
-			continue
-		}
-		changes := c.state.Apply(at, ops)
-		if c.lead != nil {
-			c.lead.onApplied(c, entry, changes)
-		}
-	}
-	c.compact()
-}
-
-func (c *Control) compact() {
-	applied := c.replica.Applied()
-	if applied-c.replica.SnapshotIndex() < compactEntries && c.logBytes < compactBytes {
-		return
-	}
-	data, err := c.state.Snapshot()
-	if err != nil {
-		c.logger.Error().Err(err).Msg("snapshot can't be made")
-		return
-	}
-	if snapshot, ok := c.replica.Compact(applied, data); ok {
-		c.disk.addSnapshot(snapshot)
-		c.logger.Info().Uint64("index", snapshot.Index).Int("bytes", len(data)).Msg("log is compacted")
-	}
-	c.logBytes = 0
-}
-
-func (c *Control) onPersisted(e persistedEvent) error {
-	if e.generation != c.disk.generation {
-		return nil
-	}
-	if e.err != nil {
-		return e.err
-	}
-	c.disk.busy = false
-	if last, ok := e.batch.last(); ok {
-		c.replica.Persisted(c.now, last.Index, last.Term)
-	}
-	c.send(e.batch.messages)
-	c.send(c.disk.next())
-	return nil
-}
