--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -55,7 +55,6 @@
 		// committing is the highest end that is on its way into the log.
 		committing int64
 		unwellTill time.Duration
-		lastBeat   time.Duration
 		// next is when Tick has something to do, unless touched tells that it has changed.
 		next    time.Duration
 		touched bool
@@ -142,7 +141,6 @@
 		return
 	}
 	c.touched = true
-	c.lastBeat = now
 	if !c.hasClock {
 		c.setClock(clock, now)
 		f.tickContact(c)
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -19,8 +19,6 @@
 	Policy struct {
 		// Lease is how long a worker's runs live after it was last renewed.
 		Lease time.Duration
-		// StopTimeout is the most that a worker takes to stop a run.
-		StopTimeout time.Duration
 		// Wait is the most that a worker holds back the answer of a renewal for an end.
 		Wait time.Duration
 	}
--- a/internal/job/pimfleet/world_test.go
+++ b/internal/job/pimfleet/world_test.go
@@ -72,7 +72,7 @@
 	startTime = 1_700_000_000_000
 )
 
-var policy = pimfleet.Policy{Lease: testLease, StopTimeout: 200 * time.Millisecond, Wait: 0}
+var policy = pimfleet.Policy{Lease: testLease, Wait: 0}
 
 func newWorld(t *testing.T, seed uint64, workers ...string) *world {
 	w := &world{
