Filling runs that are held up are moved to other hosts

Trials with the starts and ends of all runs printed showed that the runs of a step begin together (half within 0.4 s) but some stand at a pace of 0 or 25 for up to 41 s, beside serving tasks near their target; their step, and all steps after it, wait. Runs were judged by progress only while their pace was not 0. Ruled out: the order of jobs. Change: a filling run whose percent moved at less than 0.35 of its estimate's speed over 2 s is stopped when another host would finish it sooner, with its checkpoint; the task goes back there only if no other host has room.

--- /dev/null
+++ b/internal/job/pimplan/move.go
@@ -0,0 +1,60 @@
+package pimplan
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+const (
+	// heldUpWindow is the time over which the speed of a filling run is judged: two changes
+	// of pace and what they take to show.
+	heldUpWindow = 2 * time.Second
+	// heldUpSpeed is the speed below which a filling run may be moved; 1 is what its
+	// estimate says. Estimates are off by a third at most.
+	heldUpSpeed = 0.35
+	// leastSpeed keeps the time that a run still takes finite.
+	leastSpeed = 0.02
+	// moveCost is what a move is taken to last: the stop, the wait for another host, and
+	// the work since the last checkpoint.
+	moveCost = time.Second
+)
+
+// moveHeldUp stops the filling runs of a host that are slowed for the sake of what serves
+// there, or find no processor time, and that would be done sooner elsewhere. The rest of
+// their step waits for them.
+func (p *Planner) moveHeldUp(h *host, rows []pimfleet.RunView, plan *Plan) {
+	windows := map[pimjob.TaskKey]progressMark{}
+	for _, view := range rows {
+		_, step, _ := p.state.Task(view.Row.Key)
+		if step == nil || !step.Fills || step.Lasting || step.Gang || step.Estimate <= 0 || view.Stopping {
+			continue
+		}
+		window, ok := h.progress.windows[view.Row.Key]
+		if !ok {
+			window = progressMark{view.Row.Percent, view.At}
+		}
+		if passed := view.At - window.at; passed >= heldUpWindow {
+			speed := float64(view.Row.Percent-window.percent) / 100 * step.Estimate.Seconds() / passed.Seconds()
+			if speed < heldUpSpeed && isSoonerElsewhere(step, view.Row.Percent, speed) {
+				p.unfit[view.Row.Key] = append(p.unfit[view.Row.Key], h.worker.ID)
+				plan.Stops = append(plan.Stops, Stop{Worker: h.worker.ID, Key: view.Row.Key, Number: view.Row.Number, Why: "held up"})
+			}
+			window = progressMark{view.Row.Percent, view.At}
+		}
+		windows[view.Row.Key] = window
+	}
+	h.progress.windows = windows
+}
+
+// isSoonerElsewhere compares what a run still takes at its speed with what it takes on
+// another host at full speed. Without checkpoints it begins anew there.
+func isSoonerElsewhere(step *pimjob.Step, percent int, speed float64) bool {
+	left := (1 - float64(percent)/100) * step.Estimate.Seconds()
+	elsewhere := step.Estimate.Seconds()
+	if step.Checkpoints {
+		elsewhere = left
+	}
+	return left/max(leastSpeed, speed) > elsewhere+moveCost.Seconds()
+}
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -160,6 +160,7 @@
 		}
 		rows := p.workers.Rows(id)
 		p.watch(now, h, rows, plan)
+		p.moveHeldUp(h, rows, plan)
 		fillers := h.pacing.observe(p.state, p.harms, rows, now)
 		if now >= h.pacing.actedAt+paceSettle {
 			p.paceHost(now, h, fillers, plan)
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -183,13 +183,13 @@
 }
 
 // best takes the best host for a task and puts the task on it. A host where the task
-// failed is taken only if no other has room.
+// failed or was held up is taken only if no other has room.
 func (p *Planner) best(c candidate, step *pimjob.Step, key pimjob.TaskKey, r *ranking) *host {
 	var skipped []ranked
 	var found *host
 	for r.Len() > 0 && found == nil {
 		row := heap.Pop(r).(ranked)
-		if slices.Contains(p.failedOn[key], row.host.worker.ID) {
+		if slices.Contains(p.unfit[key], row.host.worker.ID) {
 			skipped = append(skipped, row)
 			continue
 		}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -35,9 +35,9 @@
 		dirty map[string]bool
 		// running counts the live runs of each job.
 		running map[string]int
-		// failedOn holds the workers on which a task failed.
-		failedOn map[pimjob.TaskKey][]string
-		harms    *harmModel
+		// unfit holds the workers on which a task failed or was held up.
+		unfit map[pimjob.TaskKey][]string
+		harms *harmModel
 		// refusals counts the starts of a job that workers refused since one was carried
 		// out, holds until when it waits therefore.
 		refusals map[string]int
@@ -112,7 +112,7 @@
 func NewPlanner(state *pimjob.State, workers Workers) *Planner {
 	p := &Planner{
 		state: state, workers: workers, hosts: map[string]*host{}, jobs: map[string]*waitingJob{}, dirty: map[string]bool{}, running: map[string]int{},
-		failedOn: map[pimjob.TaskKey][]string{}, harms: newHarmModel(),
+		unfit: map[pimjob.TaskKey][]string{}, harms: newHarmModel(),
 		refusals: map[string]int{}, holds: map[string]time.Duration{},
 	}
 	for _, worker := range state.Workers() {
@@ -177,9 +177,9 @@
 	}
 	switch how {
 	case pimjob.EndDone:
-		delete(p.failedOn, live.Key)
+		delete(p.unfit, live.Key)
 	case pimjob.EndFailed:
-		p.failedOn[live.Key] = append(p.failedOn[live.Key], live.Run.Worker)
+		p.unfit[live.Key] = append(p.unfit[live.Key], live.Run.Worker)
 	default:
 	}
 }
@@ -190,9 +190,9 @@
 	delete(p.dirty, job.Submission.ID)
 	delete(p.refusals, job.Submission.ID)
 	delete(p.holds, job.Submission.ID)
-	for key := range p.failedOn {
+	for key := range p.unfit {
 		if key.Job == job.Submission.ID {
-			delete(p.failedOn, key)
+			delete(p.unfit, key)
 		}
 	}
 }
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -29,6 +29,8 @@
 		closed  map[string]bool
 		// speed is that of a worker's runs, 1 where it is not named.
 		speed map[string]float64
+		// saved are the core-seconds that stopped runs with checkpoints had left.
+		saved map[pimjob.TaskKey]float64
 		// harm is the room that a core of a filling image takes from a serving image.
 		harm map[string]map[string]float64
 		// over counts seconds of serving tasks over their target, and done filling core-seconds.
@@ -63,7 +65,7 @@
 func newLoad(t *testing.T, workers int) *load {
 	l := &load{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), state: pimjob.NewState(), now: time.Minute, runs: map[pimjob.TaskKey]*modelRun{},
-		harm: map[string]map[string]float64{}, ends: map[pimjob.EndKind]int{}, closed: map[string]bool{}, speed: map[string]float64{},
+		harm: map[string]map[string]float64{}, ends: map[pimjob.EndKind]int{}, closed: map[string]bool{}, speed: map[string]float64{}, saved: map[pimjob.TaskKey]float64{},
 	}
 	for i := range workers {
 		l.state.Apply(moment, []pimjob.Op{pimjob.PutWorker{Worker: pimjob.Worker{
@@ -121,11 +123,16 @@
 		switch change := change.(type) {
 		case pimjob.RunStarted:
 			_, step, _ := l.state.Task(change.Live.Key)
-			l.runs[change.Live.Key] = &modelRun{
-				live: change.Live, pace: 100, left: step.Estimate.Seconds() * float64(step.Need.Millicores) / 1000, phase: l.random.Float64() * 2 * math.Pi,
+			left, ok := l.saved[change.Live.Key]
+			if !ok {
+				left = step.Estimate.Seconds() * float64(step.Need.Millicores) / 1000
 			}
+			l.runs[change.Live.Key] = &modelRun{live: change.Live, pace: 100, left: left, phase: l.random.Float64() * 2 * math.Pi}
 		case pimjob.RunEnded:
 			l.ends[change.How]++
+			if _, step, _ := l.state.Task(change.Live.Key); step.Checkpoints {
+				l.saved[change.Live.Key] = l.runs[change.Live.Key].left
+			}
 			delete(l.runs, change.Live.Key)
 		}
 	}
@@ -147,6 +154,11 @@
 	return pimjob.Step{Count: count, Need: pimjob.Resources{Millicores: 3500, MemoryMB: 6400}, Image: image, Fills: true, Estimate: 3 * time.Second}
 }
 
+func savingStep(step pimjob.Step) pimjob.Step {
+	step.Checkpoints = true
+	return step
+}
+
 func plain(count int, cores int64) pimjob.Step {
 	return pimjob.Step{Count: count, Need: pimjob.Resources{Millicores: cores * 1000, MemoryMB: 1000}, Estimate: time.Second}
 }
@@ -266,6 +278,35 @@
 	assert.Assert(t, l.done > 0.9*offered, "%.0f of %.0f core-seconds were done", l.done, offered)
 }
 
+// TestHeldUpRuns is the load of the users' days with a burst of batch jobs beside serving tasks that
+// need their hosts: a few filling tasks that are slowed keep their whole jobs from being done.
+func TestHeldUpRuns(t *testing.T) {
+	for _, step := range []pimjob.Step{filling("any", 4), savingStep(filling("any", 4))} {
+		t.Run(fmt.Sprintf("are moved, checkpoints %v", step.Checkpoints), func(t *testing.T) {
+			l := newLoad(t, 8)
+			l.speed["w00"] = 0.1
+			for i := range 12 {
+				l.submit(fmt.Sprintf("job-%02d", i), 2, step)
+			}
+			// The objective of the jobs is 7 s.
+			l.run(7 * time.Second)
+			for i := range 12 {
+				assert.Equal(t, l.state.Job(fmt.Sprintf("job-%02d", i)).State, pimjob.Completed)
+			}
+		})
+	}
+	t.Run("stay where they are done sooner", func(t *testing.T) {
+		l := newLoad(t, 8)
+		l.speed["w00"] = 0.34
+		step := filling("any", 8)
+		step.Estimate = time.Second
+		l.submit("short", 2, step)
+		l.run(4 * time.Second)
+		assert.Equal(t, l.state.Job("short").State, pimjob.Completed)
+		assert.Equal(t, l.ends[pimjob.EndStopped], 0)
+	})
+}
+
 func TestPlace(t *testing.T) {
 	t.Run("no host gets more than it holds", func(t *testing.T) {
 		l := newLoad(t, 3)
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -12,8 +12,10 @@
 	// the tasks' estimates say.
 	progressState struct {
 		marks map[pimjob.TaskKey]progressMark
-		speed float64
-		known int
+		// windows hold where the filling runs were when their speed was last judged.
+		windows map[pimjob.TaskKey]progressMark
+		speed   float64
+		known   int
 	}
 
 	progressMark struct {
