Queues can be compared: waits, starts, share of the processor time, ends, by queue

Conclusion: refusals are known by code only, since only a missing leader refuses; that meets all queues alike.

--- a/internal/base/pimmetric/metric.go
+++ b/internal/base/pimmetric/metric.go
@@ -56,6 +56,11 @@
 // Add counts events of one kind.
 func (m *Metrics) Add(name string, count int64) { m.scope.Counter(name).Inc(count) }
 
+// AddForQueue counts what a queue's jobs were given, wait for or came to.
+func (m *Metrics) AddForQueue(name, queue string, count int64) {
+	m.scope.Tagged(map[string]string{"queue": queue}).Counter(name).Inc(count)
+}
+
 // CountEnd counts the end of a run.
 func (m *Metrics) CountEnd(how string) {
 	m.scope.Tagged(map[string]string{"how": how}).Counter("run-ends").Inc(1)
--- a/internal/job/pimcontrol/lead.go
+++ b/internal/job/pimcontrol/lead.go
@@ -288,6 +288,7 @@
 // report writes what the log did to the daemon's own log and metrics.
 func (c *Control) report(changes []pimjob.Change) {
 	for _, change := range changes {
+		c.countForQueue(change)
 		switch change := change.(type) {
 		case pimjob.RunEnded:
 			c.metrics.CountEnd(change.How.String())
@@ -308,6 +309,33 @@
 	}
 }
 
+// countForQueue counts how long the jobs of a queue wait, what they are given, and what
+// becomes of them, so that the queues can be compared. Only the leader counts: the sum over
+// the control daemons holds.
+func (c *Control) countForQueue(change pimjob.Change) {
+	switch change := change.(type) {
+	case pimjob.JobAccepted:
+		c.metrics.AddForQueue("queue-jobs-accepted", change.Job.Queue.Name, 1)
+	case pimjob.RunStarted:
+		key := change.Live.Key
+		if job := c.state.Job(key.Job); job != nil && key == (pimjob.TaskKey{Job: key.Job}) && change.Live.Run.Number == 1 {
+			due := max(job.AcceptedAt, job.Submission.DueAt(0))
+			c.metrics.AddForQueue("queue-first-starts", job.Queue.Name, 1)
+			c.metrics.AddForQueue("queue-first-start-wait-millis", job.Queue.Name, max(0, change.Live.Run.StartedAt-due))
+		}
+	case pimjob.RunEnded:
+		_, step, job := c.state.Task(change.Live.Key)
+		if job == nil || step == nil {
+			return
+		}
+		held := max(0, time.Now().UnixMilli()-change.Live.Run.StartedAt)
+		c.metrics.AddForQueue("queue-core-millis", job.Queue.Name, held*step.Need.Millicores/1000)
+	case pimjob.JobEnded:
+		c.metrics.AddForQueue("queue-jobs-"+change.Job.State.String(), change.Job.Queue.Name, 1)
+	case pimjob.WorkerChanged, pimjob.ConfigChanged:
+	}
+}
+
 // answerReads answers the reads that came in before the leadership was last confirmed.
 func (c *Control) answerReads() {
 	l := c.lead
