--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 # bench    Go benchmarks
 # docs     rewrite the generated pages
 # matrix   every fault at every step, and docs/FAULTS.md
+# soak     real processes under random faults; SEEDS=10-20 TIME=30s
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix
+.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix soak
 
 build:
 	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
@@ -46,3 +47,8 @@
 
 matrix:
 	$(GO) test ./internal/node/pimcore -run TestFaultMatrix -write-faults $(CURDIR)/docs/FAULTS.md
+
+SEEDS ?= 10-20
+TIME ?= 30s
+soak:
+	PIM_SOAK_SEEDS=$(SEEDS) PIM_SOAK_TIME=$(TIME) $(GO) test ./platform/pimadapter -run TestSoak -v -timeout 60m
--- a/internal/job/pimplan/swing_test.go
+++ b/internal/job/pimplan/swing_test.go
@@ -59,4 +59,17 @@
 	})
 }
 
+// BenchmarkSwing is one figure of one serving task, of which a worker lists a few each second.
+func BenchmarkSwing(b *testing.B) {
+	for name, tasks := range map[string]int{"scout": 0, "other": firstScouts + 1} {
+		b.Run(name, func(b *testing.B) {
+			model := &swingModel{tasks: tasks, samples: leastSamples, still: 1}
+			var known *swing
+			for i := range b.N {
+				known = model.observe(known, seconds(float64(i)), wavyRoom(10, 0, float64(i), 18*time.Millisecond), 0, 0.1)
+			}
+		})
+	}
+}
+
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
