A worker that leaves is dropped after the answer that lists what it has done

A worker leaves as soon as its last run ends, so that its notice and the answer to the renewal that lists the end come at the same time. Taken first, the notice put the worker's loss into the log before the end, and the answer found no worker. Change: the fleet drops a leaving worker itself, after the renewal under way has been answered or has failed, ends first. The notice is acknowledged at once: if the leader dies first, the worker's lease runs out as for any other.

--- a/internal/job/pimcontrol/asks.go
+++ b/internal/job/pimcontrol/asks.go
@@ -192,6 +192,10 @@
 		respond(pimask.Done{})
 		return
 	}
+	if c.lead.fleet.OnLeave(ask.ID, born, c.now) {
+		respond(pimask.Done{})
+		return
+	}
 	c.lead.write(respond, pimjob.DropWorker{ID: ask.ID, Born: born})
 }
 
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -52,6 +52,8 @@
 		holdAt    time.Duration
 		reachable bool
 		failures  int
+		// leaving workers are dropped once the renewal under way has told what it knows.
+		leaving bool
 		// reborn is the life that answered last in place of the one that is known, or 0.
 		reborn int64
 		// committing is the highest end that is on its way into the log.
@@ -405,7 +407,28 @@
 // IsUsable reports whether a worker answered its last renewal in this term and is well.
 func (f *Fleet) IsUsable(id string, now time.Duration) bool {
 	c := f.contacts[id]
-	return c != nil && c.reachable && c.hasClock && now >= c.unwellTill
+	return c != nil && c.reachable && c.hasClock && !c.leaving && now >= c.unwellTill
+}
+
+// OnLeave takes in that a worker leaves, and reports whether the fleet knows it. The worker is
+// dropped after the answer to the renewal under way: ends that it lists come first.
+func (f *Fleet) OnLeave(id string, born int64, now time.Duration) bool {
+	f.now = now
+	c := f.contacts[id]
+	if c == nil || c.worker.Born != born {
+		return false
+	}
+	c.leaving = true
+	if !c.holding {
+		f.drop(c)
+	}
+	return true
+}
+
+func (f *Fleet) drop(c *contact) {
+	f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
+	c.holdAt = f.now + lostPause
+	c.touched = true
 }
 
 // Rows returns what a worker last listed of its runs, in the order of their tasks.
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
 
@@ -53,6 +55,26 @@
 		w.run(5 * time.Second)
 		w.assertCompleted("a")
 	})
+	t.Run("a worker that leaves right after a run is done has done it", func(t *testing.T) {
+		w := newWorld(t, 1, "w1", "w2")
+		w.submit("a", 1)
+		answers := func() int {
+			return slices.IndexFunc(w.queue, func(d delivery) bool { return d.result != nil && len(d.result.Ended) > 0 })
+		}
+		for answers() < 0 {
+			w.run(tick)
+		}
+		// The answer that lists the end is on its way.
+		leaver := w.workers[pimfleet.TargetOf(w.queue[answers()].result.Call).ID]
+		if !w.fleet.OnLeave(leaver.id, leaver.born, w.now) {
+			w.apply(pimjob.DropWorker{ID: leaver.id, Born: leaver.born})
+		}
+		leaver.down = true
+		w.run(10 * time.Second)
+		w.assertCompleted("a")
+		assert.Equal(t, w.starts, 1)
+		assert.Assert(t, w.state.Worker(leaver.id) == nil)
+	})
 	t.Run("a new leader neither loses nor doubles runs", func(t *testing.T) {
 		w := newWorld(t, 5, "w1", "w2")
 		w.submit("a", 30)
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -19,10 +19,9 @@
 	c.touched = true
 	if result.Outcome == OtherLife {
 		f.note("another life answers", c.worker.ID, runID{}, "")
-		f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
 		c.holding = false
 		c.reachable = false
-		c.holdAt = now + lostPause
+		f.drop(c)
 		return
 	}
 	switch call := result.Call.(type) {
@@ -47,6 +46,9 @@
 	c.holding = false
 	if result.Outcome != Carried {
 		f.onHoldFailed(c, result)
+		if c.leaving {
+			f.drop(c)
+		}
 		return
 	}
 	if result.Born != c.worker.Born {
@@ -62,6 +64,10 @@
 	f.fresh[c.worker.ID] = true
 	f.takeEnded(c, result.Ended, listed)
 	f.settle(c, call.SentAt, listed)
+	if c.leaving {
+		f.drop(c)
+		return
+	}
 	if c.committing <= c.cursor {
 		f.hold(c)
 	}
@@ -99,8 +105,7 @@
 			})
 		}
 	}
-	f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
-	c.holdAt = f.now + lostPause
+	f.drop(c)
 }
 
 // inDoubt reports whether the start of a run may still be on its way: it was ordered, also
