--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -207,20 +207,6 @@
 	}
 }
 
-func (f *Fleet) onWorker(change pimjob.WorkerChanged) {
-	known := f.contacts[change.Worker.ID]
-	if change.Gone {
-		delete(f.contacts, change.Worker.ID)
-		f.sortContacts()
-		return
-	}
-	if known != nil && known.worker.Born == change.Worker.Born {
-		known.worker = change.Worker
-		return
-	}
-	f.addContact(change.Worker)
-}
-
 func (f *Fleet) stopRunsOf(job *pimjob.Job) {
 	if job.State == pimjob.Completed {
 		return
@@ -410,27 +396,6 @@
 	return c != nil && c.reachable && c.hasClock && !c.leaving && now >= c.unwellTill
 }
 
-// OnLeave takes in that a worker leaves, and reports whether the fleet knows it. The worker is
-// dropped after the answer to the renewal under way: ends that it lists come first.
-func (f *Fleet) OnLeave(id string, born int64, now time.Duration) bool {
-	f.now = now
-	c := f.contacts[id]
-	if c == nil || c.worker.Born != born {
-		return false
-	}
-	c.leaving = true
-	if !c.holding {
-		f.drop(c)
-	}
-	return true
-}
-
-func (f *Fleet) drop(c *contact) {
-	f.ops = append(f.ops, pimjob.DropWorker{ID: c.worker.ID, Born: c.worker.Born})
-	c.holdAt = f.now + lostPause
-	c.touched = true
-}
-
 // Rows returns what a worker last listed of its runs, in the order of their tasks.
 func (f *Fleet) Rows(id string) []RunView {
 	c := f.contacts[id]
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -73,68 +73,6 @@
 	}
 }
 
-// fenceNewLife ends the runs of a life that is over. A start that was on its way may reach
-// the new life, if calls name the worker by its id alone: such runs are stopped there first, which
-// also keeps them from starting later, and the old life's runs end once the new one's
-// list shows none of them.
-func (f *Fleet) fenceNewLife(c *contact, call Hold, result Result) {
-	if c.reborn != result.Born {
-		f.note("another life answers", c.worker.ID, runID{}, "")
-		c.reborn = result.Born
-		c.reachable = false
-		c.lapsesAt = f.now + stretch(f.policy.Lease) + lapseMargin
-		for _, o := range c.sorted(inDoubt) {
-			o.state, o.stopping = starting, false
-			f.stop(c, o)
-		}
-	}
-	live := map[runID]bool{}
-	for _, row := range result.Running {
-		live[runID{row.Key, row.Number}] = true
-	}
-	for _, o := range c.sorted(inDoubt) {
-		if o.state != settling || o.settledAt >= call.SentAt || live[runID{o.live.Key, o.live.Run.Number}] {
-			return
-		}
-	}
-	// A run that was carried out in the new life has ended as any other.
-	for _, end := range result.Ended {
-		if c.orders[runID{end.Key, end.Number}] != nil {
-			f.ops = append(f.ops, pimjob.End{
-				Key: end.Key, Number: end.Number, Worker: c.worker.ID, Born: c.worker.Born, How: end.How, Saved: end.Saved,
-			})
-		}
-	}
-	f.drop(c)
-}
-
-// inDoubt reports whether the start of a run may still be on its way: it was ordered, also
-// again, and no list of its worker has shown the run since. A new leader has seen no list
-// of the old life.
-func inDoubt(o *order) bool {
-	if o.state == starting && !o.stopping {
-		return o.attempts > 0 || o.inFlight || o.unclear
-	}
-	return o.rowAt == 0 || o.stopping
-}
-
-// OnNewLife takes in that a worker says it began anew at its address, and reports whether the
-// old life's runs may end at once.
-func (f *Fleet) OnNewLife(id string, born int64, now time.Duration) bool {
-	f.now = now
-	c := f.contacts[id]
-	if c == nil || c.worker.Born >= born || len(c.sorted(inDoubt)) == 0 {
-		return true
-	}
-	if !c.holding && c.reborn != born {
-		// The list that follows shows the new life.
-		c.reachable = false
-		c.holdAt = now
-		c.touched = true
-	}
-	return false
-}
-
 func (f *Fleet) onHoldFailed(c *contact, result Result) {
 	if result.Outcome == NotSent {
 		c.holdAt = f.now + retryPause
