--- a/internal/state/pimconsensus/replica.go
+++ b/internal/state/pimconsensus/replica.go
@@ -45,15 +45,29 @@
 		LastContact time.Duration
 
 		// next is the index of the next entry to send. While probing, the leader does not yet
-		// know where the replica's log matches its own and sends one entry at a time.
-		next uint64
+		// know where the replica's log matches its own and sends one entry at a time. Replies to
+		// requests from before probedAt, when it last chose next, don't change that.
+		next     uint64
+		probing  bool
+		probedAt time.Duration
+		// inFlight are the requests with entries that are not acknowledged, oldest first, and
+		// inFlightBytes is their size.
+		inFlight      []sentEntries
+		inFlightBytes int
+		// pendingSnapshot is the index of the snapshot that was last sent, at snapshotSentAt, or 0
+		// once the replica has it.
+		pendingSnapshot uint64
+		snapshotSentAt  time.Duration
 		// echoBoot, echoClock and echoCommit are the echo fields of the next AppendRequest.
-		echoBoot       uint64
-		echoClock      time.Duration
-		echoCommit     uint64
-		snapshotSentAt time.Duration
-		lastSentAt     time.Duration
-		probing        bool
+		echoBoot   uint64
+		echoClock  time.Duration
+		echoCommit uint64
+	}
+
+	// sentEntries are the entries of one request: the index of the last one, and their size.
+	sentEntries struct {
+		last  uint64
+		bytes int
 	}
 
 	// Replica is one member of a group. It is not safe for concurrent use.
--- a/internal/state/pimconsensus/replication.go
+++ b/internal/state/pimconsensus/replication.go
@@ -1,6 +1,9 @@
 package pimconsensus
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 func (r *Replica) sendHeartbeats() {
 	for _, id := range r.members.All() {
@@ -11,34 +14,41 @@
 	r.advanceCommit()
 }
 
-// replicate sends new entries to the replicas that are not being probed and have fewer than
-// maxInFlightEntries in flight. The others catch up with heartbeats and the replies to them.
+// replicate sends new entries to the replicas that can take some. The others catch up with heartbeats and the replies
+// to them.
 func (r *Replica) replicate() {
 	for _, id := range r.members.All() {
 		progress := r.progress[id]
-		if id == r.config.ID || progress == nil || progress.probing {
-			continue
-		}
-		if progress.next <= r.log.lastIndex() && progress.next <= progress.Match+maxInFlightEntries {
+		if id != r.config.ID && progress != nil && !progress.probing && r.canSendEntries(progress) {
 			r.sendAppend(id)
 		}
 	}
 	r.advanceCommit()
 }
 
+// canSendEntries reports whether there are entries to send to a replica and their number and size in flight are below
+// their limits.
+func (r *Replica) canSendEntries(progress *Progress) bool {
+	return progress.pendingSnapshot == 0 && progress.next <= r.log.lastIndex() &&
+		progress.next <= progress.Match+maxInFlightEntries && progress.inFlightBytes < MaxInFlightBytes
+}
+
+// sendAppend sends a heartbeat with the entries that the replica lacks and can take. If these are compacted, it sends
+// the snapshot. Until the replica has that, heartbeats refer to it.
 func (r *Replica) sendAppend(to string) {
 	progress := r.progress[to]
 	if progress == nil {
 		return
 	}
-	prevTerm, ok := r.log.termAt(progress.next - 1)
-	if !ok {
+	previous := progress.next - 1
+	prevTerm, ok := r.log.termAt(previous)
+	if !ok || progress.pendingSnapshot != 0 {
 		r.sendSnapshot(to, progress)
-		return
+		previous, prevTerm = r.log.snapshot.Index, r.log.snapshot.Term
 	}
 	request := AppendRequest{
 		Term:       r.hardState.Term,
-		PrevIndex:  progress.next - 1,
+		PrevIndex:  previous,
 		PrevTerm:   prevTerm,
 		Commit:     r.commit,
 		SentAt:     r.now,
@@ -46,27 +56,58 @@
 		EchoClock:  progress.echoClock,
 		EchoCommit: progress.echoCommit,
 	}
-	if progress.next <= progress.Match+maxInFlightEntries {
+	if r.canSendEntries(progress) {
 		request.Entries = slices.Clone(r.log.slice(progress.next))
+		if progress.probing {
+			request.Entries = request.Entries[:1]
+		} else {
+			progress.onSent(request.Entries)
+		}
 	}
-	if progress.probing && len(request.Entries) > 1 {
-		request.Entries = request.Entries[:1]
-	}
-	if !progress.probing {
-		progress.next += uint64(len(request.Entries))
-	}
-	progress.lastSentAt = r.now
 	r.send(to, request)
 }
 
+// sendSnapshot sends the snapshot unless one is on its way.
 func (r *Replica) sendSnapshot(to string, progress *Progress) {
-	if progress.snapshotSentAt != 0 && r.now-progress.snapshotSentAt < snapshotRetryInterval {
+	if progress.pendingSnapshot != 0 && r.now-progress.snapshotSentAt < snapshotRetryInterval {
 		return
 	}
-	progress.snapshotSentAt = r.now
+	progress.pendingSnapshot, progress.snapshotSentAt = r.log.snapshot.Index, r.now
+	progress.next = r.log.snapshot.Index + 1
+	progress.inFlight, progress.inFlightBytes = nil, 0
 	r.send(to, SnapshotRequest{Term: r.hardState.Term, SentAt: r.now, Snapshot: r.log.snapshot})
 }
 
+// onSent records entries that were sent.
+func (p *Progress) onSent(entries []Entry) {
+	sent := sentEntries{last: entries[len(entries)-1].Index}
+	for _, entry := range entries {
+		sent.bytes += len(entry.Data)
+	}
+	p.inFlight = append(p.inFlight, sent)
+	p.inFlightBytes += sent.bytes
+	p.next = sent.last + 1
+}
+
+// onMatch records that the replica has all entries up to match.
+func (p *Progress) onMatch(match uint64) {
+	p.Match = max(p.Match, match)
+	p.next = max(p.next, p.Match+1)
+	for len(p.inFlight) > 0 && p.inFlight[0].last <= p.Match {
+		p.inFlightBytes -= p.inFlight[0].bytes
+		p.inFlight = p.inFlight[1:]
+	}
+	if p.Match >= p.pendingSnapshot {
+		p.pendingSnapshot = 0
+	}
+}
+
+// probe goes back to next after a request was rejected. The entries that were in flight are lost.
+func (p *Progress) probe(now time.Duration, next uint64) {
+	p.next, p.probing, p.probedAt = next, true, now
+	p.inFlight, p.inFlightBytes = nil, 0
+}
+
 // acceptLeader follows the sender as leader of term. It rejects a message of an old term
 // and returns false.
 func (r *Replica) acceptLeader(from string, term uint64) bool {
@@ -172,38 +213,27 @@
 		progress.echoCommit = r.commit
 	}
 	if m.Reject {
-		progress.next = max(min(m.RejectHint+1, progress.next), progress.Match+1)
-		progress.probing = true
-		r.sendAppend(from)
+		if progress.pendingSnapshot == 0 && m.SentAt >= progress.probedAt {
+			progress.probe(r.now, max(min(m.RejectHint+1, progress.next), progress.Match+1))
+			r.sendAppend(from)
+		}
 		return
 	}
-	r.acknowledge(from, progress, m.Match)
+	r.acknowledge(from, progress, m)
 }
 
-func (r *Replica) acknowledge(from string, progress *Progress, match uint64) {
-	progress.snapshotSentAt = 0
-	wasProbing := progress.probing
-	progress.probing = false
-	if match > progress.Match || wasProbing {
-		progress.Match = max(progress.Match, match)
-		progress.next = max(progress.next, progress.Match+1)
-		r.advanceCommit()
-	}
-	r.resendLost(progress)
-	if progress.next <= r.log.lastIndex() {
+func (r *Replica) acknowledge(from string, progress *Progress, m AppendReply) {
+	if m.SentAt >= progress.probedAt {
+		progress.probing = false
+	}
+	progress.onMatch(m.Match)
+	r.advanceCommit()
+	if !progress.probing && r.canSendEntries(progress) {
 		r.sendAppend(from)
 	}
 	r.finishTransfer(from)
 }
 
-// resendLost resumes after the acknowledged index if the newest request is answered but
-// entries sent before it are not acknowledged: those were lost.
-func (r *Replica) resendLost(progress *Progress) {
-	if progress.Match+1 < progress.next && progress.LastAck >= progress.lastSentAt {
-		progress.next = progress.Match + 1
-	}
-}
-
 func (r *Replica) finishTransfer(id string) {
 	progress := r.progress[id]
 	if r.transferTarget == id && progress != nil && progress.Match == r.log.lastIndex() {
--- a/internal/state/pimconsensus/types.go
+++ b/internal/state/pimconsensus/types.go
@@ -178,6 +178,8 @@
 	snapshotRetryInterval = 2 * time.Second
 	// maxInFlightEntries limits the entries that are sent to a replica but not acknowledged.
 	maxInFlightEntries = 2048
+	// MaxInFlightBytes is the size from which on no more entries are sent to a replica until it acknowledges some.
+	MaxInFlightBytes = 2 << 20
 	// nonPreferredDelay is added to the election timeout of a non-preferred leader.
 	nonPreferredDelay = 4 * ElectionTimeout
 )
