Hand results of calls only to the leadership that made the calls

Cause: results carried no term. Between an election and its confirmation the fleet is nil and a late result took the process down; after it, a result of an earlier leadership reached the fleet of the next one. Change: a result carries the term, others are dropped and counted (late-results). Run logs the error of the reopening, not the one before it. Test: TestLateResult; before, its second case fails and the third panics.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -106,8 +106,11 @@
 		err   error
 	}
 
-	// resultEvent is the result of a call to a worker.
-	resultEvent struct{ result pimfleet.Result }
+	// resultEvent is the result of a call to a worker that the leader of a term made.
+	resultEvent struct {
+		term   uint64
+		result pimfleet.Result
+	}
 
 	// stepDownEvent is a call of StepDown.
 	stepDownEvent struct{}
@@ -254,7 +257,7 @@
 			c.leadership = nil
 		}
 		for c.rejectRequests(ctx, reopenDelay) {
-			if err := c.open(); err == nil {
+			if err = c.open(); err == nil {
 				break
 			}
 			c.logger.Warn().Err(err).Msg("data folder cannot be reopened yet")
@@ -344,15 +347,23 @@
 	case persistedEvent:
 		return c.onPersisted(e)
 	case resultEvent:
-		if c.leadership != nil {
-			c.leadership.fleet.OnResult(e.result, c.now)
-		}
+		c.onResult(e)
 	case stepDownEvent:
 		c.steppingDown = true
 	}
 	return nil
 }
 
+// onResult passes the result of a call to the fleet of the leadership that made the call. A result that comes after
+// that leadership has ended is dropped: the fleet of a later one has made no such call.
+func (c *Control) onResult(e resultEvent) {
+	if c.leadership == nil || !c.leadership.ready || c.leadership.term != e.term {
+		c.metrics.Add("late-results", 1)
+		return
+	}
+	c.leadership.fleet.OnResult(e.result, c.now)
+}
+
 func (c *Control) onPeer(e peerEvent) {
 	switch message := e.message.(type) {
 	case pimmessage.Consensus:
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -196,14 +196,14 @@
 	if _, ok := call.(pimfleet.RenewLease); ok {
 		pool = c.renewals
 	}
-	validUntil := c.replica.QuorumAckedAt(c.now) + commandValidity
+	term, validUntil := c.leadership.term, c.replica.QuorumAckedAt(c.now)+commandValidity
 	_, accepted := pool.TrySubmit(func() {
 		result := pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
 		if pimclock.Now() < validUntil {
 			result = c.workers.Call(ctx, call)
 		}
 		select {
-		case c.events <- resultEvent{result}:
+		case c.events <- resultEvent{term, result}:
 		case <-ctx.Done():
 		}
 	})
