Mend faults that were found by reading

- A non-idempotent request uses a client of its own, which never has an idle connection (TestNonIdempotentRequestOpensAConnection).
- unthrottle is sent to a worker that reports a throttled incarnation which the placer does not want throttled, so also by a new leader; a throttle belongs to an incarnation, no longer to a task (TestPressure).
- An unknown result code is "unknown" with status 500, not "ok".
- The lock of a data folder is waited for up to 3 s: a killed process holds it until the system has ended it (TestLockFolderOfAnEndingProcess).
This is the suspected cause of a daemon that once did not come up when it was killed and started in one instant; it was not seen again, so it is not proved.

--- a/internal/base/pimcode/codes.go
+++ b/internal/base/pimcode/codes.go
@@ -142,14 +142,18 @@
 // Table returns all rows in the order of their codes.
 func Table() []Row { return table }
 
-// Lookup returns the row of a code. OK and unknown codes get a row with the name "ok" and HTTP status 200.
+// Lookup returns the row of a code. OK has the name "ok" and HTTP status 200. A code that this version doesn't know has
+// the name "unknown" and HTTP status 500.
 func Lookup(code Code) Row {
 	for _, row := range table {
 		if row.Code == code {
 			return row
 		}
 	}
-	return Row{Code: code, Name: "ok", HTTPStatus: 200}
+	if code == OK {
+		return Row{Code: OK, Name: "ok", HTTPStatus: 200}
+	}
+	return Row{Code: code, Name: "unknown", HTTPStatus: 500}
 }
 
 // String returns the kebab-case name of the code.
--- a/internal/base/pimcode/codes_test.go
+++ b/internal/base/pimcode/codes_test.go
@@ -29,3 +29,10 @@
 		names[row.Name] = true
 	}
 }
+
+func TestLookupOfAnUnknownCode(t *testing.T) {
+	row := pimcode.Lookup(9999)
+	assert.Equal(t, row.Name, "unknown")
+	assert.Equal(t, row.HTTPStatus, 500)
+	assert.Equal(t, pimcode.Lookup(pimcode.OK).HTTPStatus, 200)
+}
--- a/internal/entry/pimdaemon/endpoint_client.go
+++ b/internal/entry/pimdaemon/endpoint_client.go
@@ -15,12 +15,18 @@
 )
 
 type (
-	// endpointClient sends attempts to endpoints. A non-idempotent request sets Connection: close, since a connection that
-	// died silently while idle would leave the outcome of the next request unknown. It may still be sent on an idle
-	// connection that an idempotent request left open.
+	// endpointClient sends attempts to endpoints. A non-idempotent request always opens a connection of its own, since
+	// one that died silently while idle would leave the outcome of the request unknown.
 	endpointClient struct {
 		mutex   sync.Mutex
-		clients map[string]*fasthttp.HostClient
+		clients map[clientKey]*fasthttp.HostClient
+	}
+
+	// clientKey identifies the client for one kind of request to an address. The client for non-idempotent requests
+	// closes each connection after its response, so that it never has an idle one.
+	clientKey struct {
+		address    string
+		idempotent bool
 	}
 )
 
@@ -46,15 +52,15 @@
 var errDial = errs.Class("dial")
 
 func newEndpointClient() *endpointClient {
-	return &endpointClient{clients: map[string]*fasthttp.HostClient{}}
+	return &endpointClient{clients: map[clientKey]*fasthttp.HostClient{}}
 }
 
-// hostClient returns the client of an address. At maxClients it forgets all clients, so that addresses of endpoints
+// hostClient returns the client for a kind of request. At maxClients it forgets all clients, so that addresses of endpoints
 // that are gone don't accumulate.
-func (c *endpointClient) hostClient(address string) *fasthttp.HostClient {
+func (c *endpointClient) hostClient(key clientKey) *fasthttp.HostClient {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	client := c.clients[address]
+	client := c.clients[key]
 	if client != nil {
 		return client
 	}
@@ -62,7 +68,7 @@
 		clear(c.clients)
 	}
 	client = &fasthttp.HostClient{
-		Addr:                          address,
+		Addr:                          key.address,
 		Dial:                          dialEndpoint,
 		MaxConns:                      maxConnsPerEndpoint,
 		MaxIdleConnDuration:           idleConnTimeout,
@@ -71,7 +77,7 @@
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DisableHeaderNamesNormalizing: false,
 	}
-	c.clients[address] = client
+	c.clients[key] = client
 	return client
 }
 
@@ -88,7 +94,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	fillRequest(request, a)
-	err := c.hostClient(a.Address).DoTimeout(request, response, a.TTL)
+	err := c.hostClient(clientKey{a.Address, a.Idempotent}).DoTimeout(request, response, a.TTL)
 	switch {
 	case errDial.Has(err) || errors.Is(err, fasthttp.ErrNoFreeConns):
 		result.Kind = pimrequest.ResultNotSent
--- a/internal/entry/pimdaemon/endpoint_client_test.go
+++ b/internal/entry/pimdaemon/endpoint_client_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +79,28 @@
 		assert.Equal(t, result.Kind, pimrequest.ResultNotSent)
 	})
 }
+
+// TestNonIdempotentRequestOpensAConnection checks that a non-idempotent request isn't sent on a connection that was idle,
+// which may have died silently.
+func TestNonIdempotentRequestOpensAConnection(t *testing.T) {
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderAttempt, "a-1")
+		fmt.Fprint(w, "good")
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := newEndpointClient()
+	for i, idempotent := range []bool{true, true, false, false} {
+		result := client.send(pimrequest.SendAttempt{
+			Attempt: "a-1", Address: server.Listener.Addr().String(), Service: "callout", Idempotent: idempotent, TTL: 20 * time.Second,
+		})
+		assert.Equal(t, result.Kind, pimrequest.ResultComplete)
+		assert.Equal(t, connections.Load(), []int64{1, 1, 2, 3}[i])
+	}
+}
--- a/internal/job/pimforward/forwarder.go
+++ b/internal/job/pimforward/forwarder.go
@@ -232,7 +232,7 @@
 			timeout = min(timeout, timeouts.LeaderWait-time.Since(startedAt))
 		}
 		leader, ok := f.awaitLeader(ctx, timeout)
-		if !ok {
+		if !ok || ctx.Err() != nil {
 			return nil, callError(mayHaveExecuted, time.Since(startedAt))
 		}
 		response, responded := f.callOnce(ctx, leader, body, min(responseTimeout, timeouts.Total-time.Since(startedAt)))
--- a/internal/place/pimplace/placer_test.go
+++ b/internal/place/pimplace/placer_test.go
@@ -288,6 +288,20 @@
 		assert.Equal(t, len(response.Commands), 2)
 		assert.Equal(t, response.Commands[0].Kind, pimplace.CommandThrottle)
 	})
+	t.Run("a throttled task is unthrottled once CPU usage is low, also by a new leader", func(t *testing.T) {
+		h := newHarness(t, pimplace.PolicyInterference)
+		h.report("w1", "r1", resources(4000, 1000))
+		h.setOwned("quotes", 1, batchSpec)
+		h.tick(time.Second)
+		idle := h.currentReport("quotes", 0, pimplace.TaskRunning)
+		idle.CPUMillis, idle.Throttled = 100, true
+		h.now += 5 * time.Second
+		response := h.report("w1", "r1", resources(4000, 1000), idle)
+		assert.Equal(t, len(response.Commands), 1)
+		assert.Equal(t, response.Commands[0].Kind, pimplace.CommandUnthrottle)
+		idle.Throttled = false
+		assert.Equal(t, len(h.report("w1", "r1", resources(4000, 1000), idle).Commands), 0)
+	})
 	t.Run("high memory usage evicts only the largest batch task", func(t *testing.T) {
 		h := newHarness(t, pimplace.PolicyInterference)
 		h.report("w1", "r1", resources(4000, 1000))
--- a/internal/place/pimplace/pressure.go
+++ b/internal/place/pimplace/pressure.go
@@ -51,12 +51,13 @@
 // throttleBatch throttles or unthrottles all batch tasks on a worker.
 func (p *Placer) throttleBatch(now time.Duration, worker *Worker, view View, throttle bool) {
 	for _, id := range p.batchOn(worker.ID, view) {
-		if p.throttled[id] == throttle {
+		incarnation := view.State.Tasks[id].Incarnation
+		if (p.throttled[id] == incarnation) == throttle {
 			continue
 		}
 		worker.ThrottledAt = now
 		if throttle {
-			p.throttled[id] = true
+			p.throttled[id] = incarnation
 		} else {
 			delete(p.throttled, id)
 		}
--- a/internal/place/pimplace/tick.go
+++ b/internal/place/pimplace/tick.go
@@ -56,8 +56,9 @@
 		row := view.State.Tasks[id]
 		return row.Worker == "" || row.Incarnation != incarnation
 	})
-	maps.DeleteFunc(p.throttled, func(id pimconfig.TaskID, _ bool) bool {
-		return view.State.Tasks[id].Worker == ""
+	maps.DeleteFunc(p.throttled, func(id pimconfig.TaskID, incarnation uint64) bool {
+		row := view.State.Tasks[id]
+		return row.Worker == "" || row.Incarnation != incarnation
 	})
 }
 
--- a/internal/place/pimplace/types.go
+++ b/internal/place/pimplace/types.go
@@ -33,6 +33,8 @@
 		// SlowdownPercent is the worker's estimate of how much slower the task runs than
 		// it would without other tasks on the worker.
 		SlowdownPercent int64 `json:"slowdown-percent" msgpack:"d"`
+		// Throttled is set while the worker executes CommandThrottle for the incarnation.
+		Throttled bool `json:"throttled,omitempty" msgpack:"h,omitempty"`
 	}
 
 	// Report is what a worker sends at least every ReportInterval. The usage in Tasks
@@ -155,7 +157,8 @@
 		// pendingLosses maps a task to the index of the unapplied log entry that ends it as
 		// lost. Its worker gets no lease until that entry is applied.
 		pendingLosses map[pimconfig.TaskID]uint64
-		throttled     map[pimconfig.TaskID]bool
+		// throttled maps a task to the incarnation that its worker is to throttle.
+		throttled map[pimconfig.TaskID]uint64
 		// countedEnds maps a task to the incarnation whose end is in the statistics, so
 		// that a repeated report is not counted twice.
 		countedEnds      map[pimconfig.TaskID]uint64
--- a/internal/place/pimplace/workers.go
+++ b/internal/place/pimplace/workers.go
@@ -23,7 +23,7 @@
 		reserved:       map[pimconfig.TaskID]reservation{},
 		stopping:       map[pimconfig.TaskID]uint64{},
 		pendingLosses:  map[pimconfig.TaskID]uint64{},
-		throttled:      map[pimconfig.TaskID]bool{},
+		throttled:      map[pimconfig.TaskID]uint64{},
 		countedEnds:    map[pimconfig.TaskID]uint64{},
 		evictionTokens: evictionBurst,
 		policy:         policy,
@@ -200,8 +200,10 @@
 		return command, false
 	case p.stopping[id] == row.Incarnation && row.Incarnation > 0:
 		command.Kind = CommandCheckpoint
-	case p.throttled[id]:
+	case p.throttled[id] == row.Incarnation && row.Incarnation > 0:
 		command.Kind = CommandThrottle
+	case report.Throttled:
+		command.Kind = CommandUnthrottle
 	default:
 		return command, false
 	}
--- a/internal/standin/pimworker/worker.go
+++ b/internal/standin/pimworker/worker.go
@@ -46,6 +46,7 @@
 		state            pimplace.TaskState
 		startedAt        time.Time
 		checkpointMillis int64
+		throttled        bool
 	}
 )
 
@@ -173,7 +174,7 @@
 		t := w.tasks[id]
 		status := pimplace.TaskReport{
 			Task: id, Epoch: t.command.Epoch, Incarnation: t.command.Incarnation,
-			State: t.state, Checkpoint: uint64(t.checkpointMillis),
+			State: t.state, Checkpoint: uint64(t.checkpointMillis), Throttled: t.throttled,
 		}
 		if t.state == pimplace.TaskRunning {
 			status.CPUMillis = t.command.Needs.CPUMillis / 2
@@ -205,6 +206,10 @@
 				command: command, state: pimplace.TaskStopped, checkpointMillis: int64(command.Checkpoint),
 			}
 		}
+	case pimplace.CommandThrottle, pimplace.CommandUnthrottle:
+		if sameIncarnation {
+			t.throttled = command.Kind == pimplace.CommandThrottle
+		}
 	case pimplace.CommandForget:
 		if sameIncarnation {
 			delete(w.tasks, command.Task)
--- a/internal/state/pimlog/store.go
+++ b/internal/state/pimlog/store.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -46,15 +47,18 @@
 )
 
 const (
-	lockName       = "lock"
+	lockName = "lock"
+	// lockTimeout is several times what the system takes to end a killed process.
+	lockTimeout    = 3 * time.Second
+	lockInterval   = 20 * time.Millisecond
 	segmentPattern = "segment-%016x.log"
 	snapshotName   = "snapshot"
 	folderMode     = 0o755
 	fileMode       = 0o644
 )
 
-// LockFolder creates the folder if needed and locks it. It fails with FolderLocked if
-// another process holds the lock.
+// LockFolder creates the folder if needed and locks it. It waits up to lockTimeout for another process to release the
+// lock, since a killed process holds it until the system has ended it. After that it fails with FolderLocked.
 func LockFolder(folder string) (*Lock, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, pimcode.New(pimcode.DiskFailed, "%v", err)
@@ -63,9 +67,12 @@
 	if err != nil {
 		return nil, pimcode.New(pimcode.DiskFailed, "%v", err)
 	}
-	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		file.Close()
-		return nil, pimcode.New(pimcode.FolderLocked, "data folder %q is used by another process", folder)
+	for waited := time.Duration(0); syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil; waited += lockInterval {
+		if waited >= lockTimeout {
+			file.Close()
+			return nil, pimcode.New(pimcode.FolderLocked, "data folder %q is used by another process for %v", folder, waited)
+		}
+		time.Sleep(lockInterval)
 	}
 	return &Lock{file: file}, nil
 }
--- a/internal/state/pimlog/store_test.go
+++ b/internal/state/pimlog/store_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -173,6 +174,18 @@
 	assert.NilError(t, lock.Release())
 }
 
+func TestLockFolderOfAnEndingProcess(t *testing.T) {
+	folder := t.TempDir()
+	first, err := pimlog.LockFolder(folder)
+	assert.NilError(t, err)
+	released := make(chan error, 1)
+	time.AfterFunc(100*time.Millisecond, func() { released <- first.Release() })
+	second, err := pimlog.LockFolder(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, <-released)
+	assert.NilError(t, second.Release())
+}
+
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte("1PIM\x00\x00\x00\x00\x00\x00\x00\x00"))
