Bound queues between daemons by bytes, and mend more faults found by reading

- Messages for one peer are bounded by 8 MB and those that wait in a control daemon by 16 MB (they were bounded by number alone); what is dropped is counted (Dropped, shed peer-bytes).
Test: TestTransport.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -66,6 +66,8 @@
 		transport pimforward.Sender
 		forwarder *pimforward.Forwarder
 		events    chan event
+		// peerBytes is the size of the messages in events.
+		peerBytes atomic.Int64
 		commands  pond.Pool
 		renewals  pond.Pool
 		disk      *disk
@@ -123,6 +125,8 @@
 
 const (
 	eventQueueSize = 4096
+	// maxPeerBytes is the size of the messages of other daemons that may wait to be handled.
+	maxPeerBytes = 16 << 20
 	// maxEventsPerTick limits how many queued events are handled before their output is sent.
 	maxEventsPerTick = 256
 	// maxCommands limits the concurrent calls to workers, renewals not included.
@@ -227,9 +231,16 @@
 		c.forwarder.OnLeaderReply(message)
 		return
 	}
+	size := int64(pimmessage.SizeOf(message))
+	if queued := c.peerBytes.Add(size); queued > size && queued > maxPeerBytes {
+		c.peerBytes.Add(-size)
+		c.metrics.CountShed("peer-bytes")
+		return
+	}
 	select {
 	case c.events <- peerEvent{from, to, message}:
 	default:
+		c.peerBytes.Add(-size)
 		c.metrics.CountShed("peer-events")
 	}
 }
@@ -288,6 +299,7 @@
 			return true
 		case e := <-c.events:
 			if peer, ok := e.(peerEvent); ok {
+				c.peerBytes.Add(-int64(pimmessage.SizeOf(peer.message)))
 				if request, ok := peer.message.(pimmessage.CallRequest); ok {
 					c.respondTo(peer.from, request.ID)(pimrpc.NotLeader{})
 				}
@@ -365,6 +377,7 @@
 }
 
 func (c *Control) onPeer(e peerEvent) {
+	c.peerBytes.Add(-int64(pimmessage.SizeOf(e.message)))
 	switch message := e.message.(type) {
 	case pimmessage.Consensus:
 		if e.to != c.id {
--- a/internal/job/pimplan/headroom.go
+++ b/internal/job/pimplan/headroom.go
@@ -16,11 +16,9 @@
 	throttleState struct {
 		// reportedAt is the time of the last report on the worker's clock. The other times are on
 		// the daemon's clock.
-		reportedAt  time.Duration
-		throttledAt time.Duration
-		// withinTargetAt is when the tightest serving task was last within its target.
-		withinTargetAt time.Duration
-		servingTasks   map[pimjob.TaskKey]*servingTask
+		reportedAt   time.Duration
+		throttledAt  time.Duration
+		servingTasks map[pimjob.TaskKey]*servingTask
 		// imageCores are the cores that each best-effort image used at the last report, by image
 		// index.
 		imageCores []float64
@@ -47,6 +45,8 @@
 	servingTask struct {
 		image  string
 		target time.Duration
+		// withinTargetAt is when the task was last within its target, on the worker's clock.
+		withinTargetAt time.Duration
 		// headroom is the target latency divided by the tail latency, soloHeadroom what it would be
 		// without the best-effort tasks on the host, and trend the change of soloHeadroom per
 		// second.
@@ -144,6 +144,15 @@
 	return tightest
 }
 
+// longestOverTarget returns the longest time that a serving task has been over its target at the last report.
+func (s *throttleState) longestOverTarget() time.Duration {
+	longest := time.Duration(0)
+	for _, task := range s.servingTasks {
+		longest = max(longest, s.reportedAt-task.withinTargetAt)
+	}
+	return longest
+}
+
 // headroomWith returns the least headroom that a serving task of the host is expected to have once a
 // task of the step runs beside it, and the most headroom that this takes from any serving task.
 func (s *throttleState) headroomWith(model *interferenceModel, step *pimjob.Step) (least, taken float64) {
@@ -247,6 +256,10 @@
 	for _, key := range slices.SortedFunc(maps.Keys(serving), pimjob.CompareKeys) {
 		delete(s.pendingServing, key)
 		current, previous := serving[key], s.servingTasks[key]
+		current.withinTargetAt = at
+		if previous != nil && current.headroom <= 1 {
+			current.withinTargetAt = previous.withinTargetAt
+		}
 		noise := roundingStdDev(current.headroom, current.target)
 		if previous != nil && changed && gap <= maxReportGap {
 			loss := previous.headroom - current.headroom
--- a/internal/job/pimplan/throttle.go
+++ b/internal/job/pimplan/throttle.go
@@ -63,9 +63,6 @@
 func (p *Planner) throttleHost(now time.Duration, h *host, runs []bestEffortRun, plan *Plan) {
 	state := &h.throttling
 	tightest := state.tightest()
-	if tightest == nil || tightest.headroom > 1 {
-		state.withinTargetAt = now
-	}
 	if len(runs) == 0 {
 		return
 	}
@@ -74,7 +71,7 @@
 	if !slower && !faster {
 		return
 	}
-	pauseAll := now-state.withinTargetAt > maxTimeOverTarget
+	pauseAll := state.longestOverTarget() > maxTimeOverTarget
 	p.chooseSpeeds(state, runs)
 	for _, run := range runs {
 		if pauseAll {
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -283,6 +283,19 @@
 // Encode encodes a peer message, call, reply or consensus message.
 func Encode(value any) ([]byte, error) { return codec.Encode(value) }
 
+// SizeOf returns the size in bytes of what a message carries, without its fixed fields.
+func SizeOf(message PeerMessage) int {
+	switch message := message.(type) {
+	case Consensus:
+		return len(message.Body)
+	case CallRequest:
+		return len(message.Body)
+	case CallReply:
+		return len(message.Body)
+	}
+	return 0
+}
+
 // DecodePeerMessage decodes a peer message.
 func DecodePeerMessage(data []byte) (PeerMessage, error) { return decodeAs[PeerMessage](data) }
 
--- a/internal/member/pimpeer/transport.go
+++ b/internal/member/pimpeer/transport.go
@@ -23,8 +23,8 @@
 
 	// Counters are the transport's counters since its start. Sent counts messages, Received
 	// counts frames including pings, and the bytes are those of message bodies. Dropped counts
-	// messages dropped at a full queue, SilentConnections counts connections closed after
-	// PongTimeout.
+	// messages dropped at a full queue, by number or by size, SilentConnections counts
+	// connections closed after PongTimeout.
 	Counters struct {
 		Sent, Received, BytesSent, BytesReceived, Dropped, Dials, SilentConnections atomic.Int64
 	}
@@ -41,11 +41,13 @@
 	}
 
 	// outgoing is the connection to one peer. Its pool has one worker, so that frames keep
-	// their order, and a bounded queue, so that an unresponsive peer takes limited memory.
+	// their order, and a queue that is bounded in messages and in bytes, so that an
+	// unresponsive peer takes limited memory.
 	outgoing struct {
-		transport *Transport
-		address   string
-		pool      pond.Pool
+		transport   *Transport
+		address     string
+		pool        pond.Pool
+		queuedBytes atomic.Int64
 
 		mutex    sync.Mutex
 		conn     net.Conn
@@ -58,13 +60,16 @@
 
 // Timing and limits of connections.
 const (
-	DialTimeout            = 500 * time.Millisecond
-	WriteTimeout           = time.Second
-	PingInterval           = 500 * time.Millisecond
-	PongTimeout            = 1500 * time.Millisecond
-	initialBackoff         = 50 * time.Millisecond
-	maxBackoff             = 2 * time.Second
-	sendQueueLength        = 4096
+	DialTimeout     = 500 * time.Millisecond
+	WriteTimeout    = time.Second
+	PingInterval    = 500 * time.Millisecond
+	PongTimeout     = 1500 * time.Millisecond
+	initialBackoff  = 50 * time.Millisecond
+	maxBackoff      = 2 * time.Second
+	sendQueueLength = 4096
+	// MaxQueuedBytes is the size of the messages that may wait for one peer. A larger message is
+	// sent only to a peer for which none waits.
+	MaxQueuedBytes         = 8 << 20
 	maxIncomingConnections = 1024
 	idleTimeout            = 10 * time.Second
 )
@@ -172,8 +177,18 @@
 // can't be sent is dropped, since all protocols above retry.
 func (t *Transport) Send(address, to string, message pimmessage.PeerMessage) {
 	o := t.peerAt(address)
-	_, accepted := o.pool.TrySubmit(func() { o.write(to, message) })
+	size := int64(pimmessage.SizeOf(message))
+	if queued := o.queuedBytes.Add(size); queued > size && queued > MaxQueuedBytes {
+		o.queuedBytes.Add(-size)
+		t.counters.Dropped.Add(1)
+		return
+	}
+	_, accepted := o.pool.TrySubmit(func() {
+		o.write(to, message)
+		o.queuedBytes.Add(-size)
+	})
 	if !accepted {
+		o.queuedBytes.Add(-size)
 		t.counters.Dropped.Add(1)
 	}
 }
--- a/internal/member/pimpeer/transport_test.go
+++ b/internal/member/pimpeer/transport_test.go
@@ -44,6 +44,19 @@
 			assert.Equal(t, <-got, uint64(i))
 		}
 	})
+	t.Run("messages for a peer that does not read are bounded by their size", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		sender := start(t, "a", func(string, string, pimmessage.PeerMessage) {})
+		// connectionBuffers is more than a connection on this machine takes without being read.
+		const size, count, connectionBuffers = 1 << 20, 64, 16
+		for i := range count {
+			sender.Send(listener.Addr().String(), "b", pimmessage.CallRequest{ID: uint64(i), Body: make([]byte, size)})
+		}
+		dropped := sender.Counters().Dropped.Load()
+		assert.Assert(t, count-dropped <= pimpeer.MaxQueuedBytes/size+1+connectionBuffers, "%d of %d messages were dropped", dropped, count)
+	})
 	t.Run("a connection without pongs is replaced", func(t *testing.T) {
 		// The first connection is accepted but never read; later ones are relayed to a receiver.
 		got := make(chan uint64, 1)
