Place best-effort images that nothing is known about yet where hosts have headroom

Each of their images has the interference assumed without samples, 0.06 a core, with all serving images. The headroom of a host was capped at 1.2 before the new run's part was taken off, so that 1.2 - 0.06 x 2.5 cores is below the 1.05 that must remain: no host with a serving task could ever take them, and so nothing was learned about them. Ruled out: processor time (a third idle), hosts that back off (none), forecasts below the limit (12 to 50 of 540 hosts).

Change: no cap. Test: TestImagesWithoutSamples, fails before.

--- a/internal/job/pimplan/headroom.go
+++ b/internal/job/pimplan/headroom.go
@@ -169,9 +169,9 @@
 }
 
 // headroomFor returns what the serving tasks of the host can spare for a best-effort image. The
-// headroom is at most releaseAbove.
+// headroom is infinite if it interferes with none of them.
 func (s *throttleState) headroomFor(model *interferenceModel, image string) imageHeadroom {
-	found := imageHeadroom{headroom: releaseAbove}
+	found := imageHeadroom{headroom: math.Inf(1)}
 	include := func(serving string, forecast float64) {
 		interference := model.perCore(serving, image)
 		found.maxInterference = max(found.maxInterference, interference)
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -311,6 +311,25 @@
 		"%.0f of %.0f core-seconds were done", sim.bestEffortDone, offered)
 }
 
+// TestImagesWithoutSamples guards against best-effort jobs that wait although hosts have headroom: an image about which
+// nothing is known yet is assumed to interfere somewhat with each serving image.
+func TestImagesWithoutSamples(t *testing.T) {
+	sim := newSimulation(t, 8)
+	sim.submit("serve", 0, serving("robust", 32))
+	sim.plan()
+	sim.run(5 * time.Second)
+	for i := range 8 {
+		sim.submit(fmt.Sprintf("new-%d", i), 2, bestEffort(fmt.Sprintf("new-%d", i), 2))
+	}
+	sim.run(500 * time.Millisecond)
+	for i := range 8 {
+		job := sim.state.Job(fmt.Sprintf("new-%d", i))
+		for index := range 2 {
+			assert.Assert(t, job.Occurrences[0].Steps[0].Tasks[index].LastRun > 0, "task %d of job %d waits", index, i)
+		}
+	}
+}
+
 // TestSlowBestEffortRuns guards against a few slow best-effort runs that keep whole jobs from ending
 // on time. This occurs when a burst of batch jobs shares hosts with serving tasks that need them.
 func TestSlowBestEffortRuns(t *testing.T) {
