Learn the interference of up to 64 best-effort images instead of 24

The six that came last were taken to interfere with every serving image, were throttled and placed by that, and never learned. Change: 64 images; the equations are solved for those seen so far, so that a deployment with few pays no more. Test: TestManyImages (fails before: image 24 is not known).

--- a/internal/job/pimplan/interference.go
+++ b/internal/job/pimplan/interference.go
@@ -39,7 +39,7 @@
 const (
 	// maxBestEffortImages limits the best-effort images that are modelled separately. All others are
 	// taken to have priorInterference.
-	maxBestEffortImages = 24
+	maxBestEffortImages = 64
 	// sampleDecay is the factor by which each new sample reduces the weight of earlier ones.
 	sampleDecay = 0.9995
 	// priorInterference is assumed for a pair of images without samples, in headroom per core. It
@@ -121,11 +121,11 @@
 		fit = newRegression()
 		m.regressions[serving] = fit
 	}
-	fit.addSample(changes, loss, 1/(1+noise*noise/(halfWeightNoise*halfWeightNoise)))
+	fit.addSample(changes[:len(m.imageIndexes)], loss, 1/(1+noise*noise/(halfWeightNoise*halfWeightNoise)))
 }
 
-// addSample adds a sample with the given share of a full weight. Instead of lowering the weight of
-// old samples, it raises that of new ones.
+// addSample adds a sample with the given share of a full weight. Changes has an element for each image
+// seen so far. Instead of lowering the weight of old samples, it raises that of new ones.
 func (r *regression) addSample(changes []float64, loss, share float64) {
 	r.sampleWeight /= sampleDecay
 	weight := r.sampleWeight * share
@@ -144,7 +144,7 @@
 	}
 	if r.samples-r.solvedAt >= solveInterval {
 		r.solvedAt = r.samples
-		r.coefficients = solve(r.matrix, r.vector)
+		copy(r.coefficients, solve(r.matrix, r.vector, len(changes)))
 	}
 }
 
@@ -163,13 +163,12 @@
 	r.sampleWeight = 1
 }
 
-// solve returns x of matrix * x = vector by Gaussian elimination. It needs no pivoting, as the
-// matrix is positive definite.
-func solve(matrix [][]float64, vector []float64) []float64 {
-	n := len(vector)
+// solve returns the first n elements of x of matrix * x = vector, where the others do not depend on
+// them, by Gaussian elimination. It needs no pivoting, as the matrix is positive definite.
+func solve(matrix [][]float64, vector []float64, n int) []float64 {
 	rows := make([][]float64, n)
 	for i := range n {
-		rows[i] = append(slices.Clone(matrix[i]), vector[i])
+		rows[i] = append(slices.Clone(matrix[i][:n]), vector[i])
 	}
 	for i := range n {
 		for r := i + 1; r < n; r++ {
