Show the planner only the runs of a worker's last list

They are runs that have ended: between the list without them and the commit of their end they were still shown with their last status, and a change of speed had cleared when they last progressed, so that the zero time was taken for it. Each stop is a call to a worker for nothing. Change: ObservedRuns returns what the last list held. Test: TestObservedRunsAreThoseOfTheLastList, fails before.

--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -46,6 +46,8 @@
 		clock    time.Duration
 		clockAt  time.Duration
 		hasClock bool
+		// listedAt is the worker's clock at its last list of runs.
+		listedAt time.Duration
 		// leaseExpiresAt is when the lease of the worker's runs is certain to have expired.
 		leaseExpiresAt time.Duration
 		leaseExpired   bool
@@ -424,14 +426,15 @@
 	return w != nil && w.reachable && w.hasClock && !w.leaving && now >= w.unhealthyUntil
 }
 
-// ObservedRuns returns the runs that a worker has listed, sorted by task and run number.
+// ObservedRuns returns the runs in the last list of a worker, sorted by task and run number. A run that an earlier list
+// showed and the last one does not has ended, or is about to be started again.
 func (f *Fleet) ObservedRuns(id string) []ObservedRun {
 	w := f.workers[id]
 	if w == nil {
 		return nil
 	}
 	var observed []ObservedRun
-	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.listedAt != 0 }) {
+	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.listedAt != 0 && run.listedAt == w.listedAt }) {
 		observed = append(observed, ObservedRun{
 			Status: run.status, ListedAt: run.listedAt, SpeedPercent: run.wantedSpeedPercent,
 			ProgressedAt: run.progressedAt, Stopping: run.stopping,
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -155,3 +155,22 @@
 	s.fleet.Stop("w1", key, 1, s.now)
 	assert.Assert(t, s.fleet.ObservedRuns("w1")[0].Stopping)
 }
+
+// TestObservedRunsAreThoseOfTheLastList guards against taking a run that has ended for one without progress: between the
+// list without it and the commit of its end, the fleet still tracks it.
+func TestObservedRunsAreThoseOfTheLastList(t *testing.T) {
+	s := newSimulation(t, 7, "w1")
+	s.run(time.Second)
+	s.submit("a", 1)
+	s.workers["w1"].neverFinishes = true
+	s.run(1500 * time.Millisecond)
+	assert.Equal(t, len(s.fleet.ObservedRuns("w1")), 1)
+	s.fleet.Throttle("w1", pimjob.TaskKey{Job: "a"}, 1, 50, s.now)
+	worker := s.workers["w1"]
+	s.fleet.OnResult(pimfleet.Result{
+		Call:    pimfleet.RenewLease{Target: pimfleet.Target{ID: "w1", Generation: worker.generation}},
+		Outcome: pimfleet.OutcomeExecuted, Generation: worker.generation, Clock: time.Hour,
+		Ended: []pimfleet.EndedRun{{Sequence: 1, Key: pimjob.TaskKey{Job: "a"}, Number: 1, EndKind: pimjob.EndDone}},
+	}, s.now)
+	assert.Equal(t, len(s.fleet.ObservedRuns("w1")), 0)
+}
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -60,6 +60,7 @@
 	w.failures = 0
 	w.reachable = true
 	w.renewAt = f.now
+	w.listedAt = w.clock
 	listed := f.recordRunning(w, result.Running)
 	f.updated[w.worker.ID] = true
 	f.proposeEnds(w, result.Ended, listed)
