Hand what a leader has learned to the next one, in the log

Not handed over: the phase of each task's cycle, hosts that back off. Test: TestLeaderThatHasJustChanged: under half the time over target of a planner that starts from nothing.

--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -32,6 +32,8 @@
 		dirty         bool
 		nextPlanAt    time.Duration
 		nextMembersAt time.Duration
+		// nextLearnedAt is when what the planner has learned is next proposed.
+		nextLearnedAt time.Duration
 
 		reads         []pendingRead
 		nextConfirmAt time.Duration
@@ -78,6 +80,8 @@
 	planIdleRatio = 2
 	// replanInterval is the maximum time between plans, for conditions that change without an event.
 	replanInterval = 250 * time.Millisecond
+	// learnedInterval is the time between proposals of what the planner has learned.
+	learnedInterval = 3 * time.Second
 )
 
 // updateLeadership starts or ends the leadership to match the role of the replica.
@@ -139,6 +143,7 @@
 		l.ready = true
 		l.fleet = pimfleet.NewFleet(c.settings.Fleet, l.term, c.state, c.now)
 		l.planner = pimplan.NewPlanner(c.state, l.fleet)
+		l.nextLearnedAt = c.now + learnedInterval
 		l.dirty = true
 		c.updateForwarder()
 		c.logger.Info().Uint64("term", l.term).Int("jobs", len(c.state.OpenJobs())).
@@ -148,6 +153,7 @@
 	l.fleet.Tick(c.now)
 	c.applyFleetOutput(ctx)
 	c.plan(ctx)
+	c.saveLearned()
 	c.propose()
 	c.adjustMembers()
 }
@@ -254,6 +260,17 @@
 	c.applyFleetOutput(ctx)
 }
 
+// saveLearned adds what the planner has learned to the next entry, for the planner of the next leader. It adds nothing
+// while nothing else is to be proposed: then no run has started or ended.
+func (c *Control) saveLearned() {
+	l := c.leadership
+	if c.now < l.nextLearnedAt || len(l.pending.ops) == 0 {
+		return
+	}
+	l.nextLearnedAt = c.now + learnedInterval
+	l.pending.ops = append(l.pending.ops, pimjob.SaveLearned{Learned: l.planner.Learned()})
+}
+
 // propose proposes the pending operations as one log entry. If the replica doesn't accept it, they
 // stay pending.
 func (c *Control) propose() {
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -51,6 +51,8 @@
 			delete(s.tables.OutOfService, op.Domain)
 		}
 		return []Change{ConfigChanged{}}
+	case SaveLearned:
+		s.tables.Learned = op.Learned
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/job/pimjob/learned.go
@@ -0,0 +1,34 @@
+package pimjob
+
+type (
+	// Learned is what the planner of a leader has learned, so that the next leader's planner starts from it. The
+	// state stores it and takes no decision by it.
+	Learned struct {
+		// Images are the best-effort images.
+		Images []string `msgpack:"i"`
+		// Serving has an element for each serving image.
+		Serving []LearnedInterference `msgpack:"s"`
+		Cycle   LearnedCycle          `msgpack:"c"`
+	}
+
+	// LearnedInterference is the headroom that a serving image loses for each core of a best-effort image, and the
+	// weight of the samples behind it, in squared cores. Both are in the order of Learned.Images.
+	LearnedInterference struct {
+		Image   string    `msgpack:"i"`
+		PerCore []float32 `msgpack:"p"`
+		Weight  []float32 `msgpack:"w"`
+	}
+
+	// LearnedCycle is what is known about the load cycles of all serving tasks: the prediction errors of each period
+	// that is told apart and of the previous value, and the means of the headroom and of its amplitude.
+	LearnedCycle struct {
+		PeriodErrors     []float64 `msgpack:"e"`
+		PersistenceError float64   `msgpack:"p"`
+		Samples          int       `msgpack:"n"`
+		MeanHeadroom     float64   `msgpack:"h"`
+		MeanAmplitude    float64   `msgpack:"a"`
+	}
+)
+
+// Learned returns what the planners of earlier leaders have learned.
+func (s *State) Learned() Learned { return s.tables.Learned }
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -79,6 +79,11 @@
 		OutOfService bool   `msgpack:"o"`
 	}
 
+	// SaveLearned replaces what the planners of earlier leaders have learned.
+	SaveLearned struct {
+		Learned Learned `msgpack:"l"`
+	}
+
 	// Batch is one entry of the log. At is the leader's wall-clock time in milliseconds since 1970.
 	Batch struct {
 		At  int64    `msgpack:"a"`
@@ -97,6 +102,7 @@
 	{Name: "l", Zero: ExpireLease{}},
 	{Name: "f", Zero: PutConfig{}},
 	{Name: "m", Zero: MarkDomain{}},
+	{Name: "n", Zero: SaveLearned{}},
 })
 
 func (Submit) isOp()         {}
@@ -109,6 +115,7 @@
 func (ExpireLease) isOp()    {}
 func (PutConfig) isOp()      {}
 func (MarkDomain) isOp()     {}
+func (SaveLearned) isOp()    {}
 
 // EncodeBatch returns the bytes of a log entry.
 func EncodeBatch(at int64, ops []Op) ([]byte, error) {
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -29,6 +29,7 @@
 		Workers          map[string]*Worker `msgpack:"w"`
 		EndedGenerations map[string]int64   `msgpack:"d"`
 		Jobs             map[string]*Job    `msgpack:"j"`
+		Learned          Learned            `msgpack:"l"`
 		// NextCleanupAt is when ended jobs are next checked for removal.
 		NextCleanupAt int64 `msgpack:"f"`
 	}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -117,8 +117,8 @@
 	refusalPause        = time.Second
 )
 
-// NewPlanner returns a planner for a state. Its records of failures and its models of interference
-// and load cycles are empty.
+// NewPlanner returns a planner for a state. Its models of interference and load cycles start from what the state holds
+// of earlier leaders' planners. Its records of failures are empty.
 func NewPlanner(state *pimjob.State, workers Workers) *Planner {
 	p := &Planner{
 		state: state, workers: workers, hosts: map[string]*host{},
@@ -126,6 +126,7 @@
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 	}
+	p.inherit(state.Learned())
 	for _, worker := range state.Workers() {
 		p.putHost(*worker)
 		for key := range state.RunsOn(worker.ID) {
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -330,6 +330,38 @@
 	}
 }
 
+// TestLeaderThatHasJustChanged guards against a new leader that places best-effort tasks beside serving tasks with which
+// they interfere, because only the leader before it knew. The second half of the load is planned by a new planner on the
+// same state.
+func TestLeaderThatHasJustChanged(t *testing.T) {
+	overTarget := map[bool]float64{}
+	for _, saved := range []bool{false, true} {
+		sim := newSimulation(t, 16)
+		sim.interference["sensitive"] = map[string]float64{"noisy": 0.25, "quiet": 0.003}
+		sim.interference["robust"] = map[string]float64{"noisy": 0.004, "quiet": 0.25}
+		for i := range 10 {
+			sim.submit(fmt.Sprintf("serve-%d", i), 0, serving([]string{"sensitive", "robust"}[i%2], 7))
+		}
+		sim.plan()
+		load := func(name string, rounds int) {
+			for i := range rounds {
+				sim.submit(fmt.Sprintf("%s-%02d", name, i), 2, bestEffort([]string{"noisy", "quiet"}[i%2], 10))
+				sim.run(500 * time.Millisecond)
+			}
+		}
+		load("before", 80)
+		if saved {
+			sim.apply(pimjob.SaveLearned{Learned: sim.planner.Learned()})
+		}
+		sim.planner = pimplan.NewPlanner(sim.state, sim)
+		sim.timeOverTarget = 0
+		load("after", 20)
+		overTarget[saved] = sim.timeOverTarget
+	}
+	assert.Assert(t, overTarget[true] < overTarget[false]/2,
+		"serving tasks were over their target for %.1f s, without what was learned %.1f s", overTarget[true], overTarget[false])
+}
+
 // TestSlowBestEffortRuns guards against a few slow best-effort runs that keep whole jobs from ending
 // on time. This occurs when a burst of batch jobs shares hosts with serving tasks that need them.
 func TestSlowBestEffortRuns(t *testing.T) {
