Count the longest chain of a job's steps in its objective, not the sum of all

Change: deadlinesOf adds up along depends-on. Not measured alone: the jobs of the sites seen so far are mostly chains.

--- a/internal/job/pimplan/deadlines.go
+++ b/internal/job/pimplan/deadlines.go
@@ -1,11 +1,15 @@
 package pimplan
 
-import "github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+import (
+	"slices"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
 
 type (
 	// deadlines are the times, in milliseconds since 1970, until which the end of an occurrence
-	// earns full credit (due) and partial credit (latest). Remaining is the sum of the estimates of
-	// its open steps in milliseconds.
+	// earns full credit (due) and partial credit (latest). Remaining is the longest chain of the
+	// estimates of its open steps in milliseconds.
 	deadlines struct {
 		due       int64
 		latest    int64
@@ -30,20 +34,14 @@
 // Source: the platform's specification.
 const lateFactor = 3
 
-// deadlinesOf returns the deadlines of an occurrence. Its objective is the sum of its steps'
+// deadlinesOf returns the deadlines of an occurrence. Its objective is the longest chain of its steps'
 // estimates times the queue's stretch factor, plus the queue's own objective.
 func deadlinesOf(job *pimjob.Job, occurrence int) deadlines {
 	begin := max(job.AcceptedAt, job.Submission.DueAt(occurrence))
-	var total, remaining int64
-	longRunning := false
-	for i := range job.Submission.Steps {
-		estimate := job.Submission.Steps[i].Estimate.Milliseconds()
-		total += estimate
-		longRunning = longRunning || job.Submission.Steps[i].LongRunning
-		if job.Occurrences[occurrence].Steps[i].OpenTasks > 0 {
-			remaining += estimate
-		}
-	}
+	steps := job.Submission.Steps
+	longRunning := slices.ContainsFunc(steps, func(step pimjob.Step) bool { return step.LongRunning })
+	total := longestChain(steps, func(int) bool { return true })
+	remaining := longestChain(steps, func(i int) bool { return job.Occurrences[occurrence].Steps[i].OpenTasks > 0 })
 	objective := int64(float64(total)*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
 	return deadlines{
 		due: begin + objective, latest: begin + lateFactor*objective,
@@ -51,6 +49,23 @@
 	}
 }
 
+// longestChain returns the estimate in milliseconds of the longest chain of steps that depend on each other, of which only
+// those that count are added up.
+func longestChain(steps []pimjob.Step, counts func(step int) bool) int64 {
+	chains := make([]int64, len(steps))
+	longest := int64(0)
+	for i := range steps {
+		for _, before := range steps[i].DependsOn {
+			chains[i] = max(chains[i], chains[before])
+		}
+		if counts(i) {
+			chains[i] += steps[i].Estimate.Milliseconds()
+		}
+		longest = max(longest, chains[i])
+	}
+	return longest
+}
+
 func (d deadlines) urgencyAt(wallClock int64) urgency {
 	switch end := wallClock + d.remaining; {
 	case d.longRunning:
