--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -392,7 +392,12 @@
 	case pimmessage.LeaderQuery:
 		c.onLeaderQuery(e.from, message)
 	case pimmessage.CallRequest:
-		c.onRequest(e.from, message)
+		cause, stack := pimroutine.Recover(func() { c.onRequest(e.from, message) })
+		if cause != nil {
+			c.metrics.Add("panics", 1)
+			c.logger.Error().Any("cause", cause).Str("from", e.from).Int("bytes", len(message.Body)).Bytes("stack", stack).
+				Msg("handling a request panicked, the request is dropped")
+		}
 	}
 }
 
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -106,10 +106,46 @@
 	if err := msgpack.Unmarshal(data, &s.tables); err != nil {
 		return nil, pimcode.New(pimcode.LogCorrupt, "decode snapshot of jobs: %v", err)
 	}
+	if err := s.tables.check(); err != nil {
+		return nil, err
+	}
 	s.rebuildIndexes()
 	return s, nil
 }
 
+// check returns an error with the code pimcode.LogCorrupt if the tables lack a part that the state relies on.
+func (t *tables) check() error {
+	if t.Jobs == nil || t.Workers == nil || t.OutOfService == nil || t.EndedGenerations == nil {
+		return pimcode.New(pimcode.LogCorrupt, "snapshot of jobs: a table is missing")
+	}
+	for id, worker := range t.Workers {
+		if worker == nil {
+			return pimcode.New(pimcode.LogCorrupt, "snapshot of jobs: worker %q is empty", id)
+		}
+	}
+	for id, job := range t.Jobs {
+		if job == nil || !job.isComplete() {
+			return pimcode.New(pimcode.LogCorrupt, "snapshot of jobs: job %q is incomplete", id)
+		}
+	}
+	return nil
+}
+
+// isComplete reports whether each occurrence of the job has all its steps and tasks.
+func (j *Job) isComplete() bool {
+	for _, occurrence := range j.Occurrences {
+		if len(occurrence.Steps) != len(j.Submission.Steps) {
+			return false
+		}
+		for i := range occurrence.Steps {
+			if len(occurrence.Steps[i].Tasks) != j.Submission.Steps[i].Count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (s *State) rebuildIndexes() {
 	s.liveRuns = map[string]map[TaskKey]LiveRun{}
 	s.openJobs = map[string]*Job{}
--- a/internal/member/pimpeer/transport.go
+++ b/internal/member/pimpeer/transport.go
@@ -24,9 +24,9 @@
 	// Counters are the transport's counters since its start. Sent counts messages, Received
 	// counts frames including pings, and the bytes are those of message bodies. Dropped counts
 	// messages dropped at a full queue, by number or by size, SilentConnections counts
-	// connections closed after PongTimeout.
+	// connections closed after PongTimeout, Panics counts messages whose handling panicked.
 	Counters struct {
-		Sent, Received, BytesSent, BytesReceived, Dropped, Dials, SilentConnections atomic.Int64
+		Sent, Received, BytesSent, BytesReceived, Dropped, Dials, SilentConnections, Panics atomic.Int64
 	}
 
 	// Transport sends messages to other daemons and receives theirs.
@@ -157,7 +157,9 @@
 		if err != nil {
 			return
 		}
-		t.receive(frame.From, frame.To, message)
+		if cause, _ := pimroutine.Recover(func() { t.receive(frame.From, frame.To, message) }); cause != nil {
+			t.counters.Panics.Add(1)
+		}
 	}
 }
 
--- a/internal/state/pimconsensus/replication.go
+++ b/internal/state/pimconsensus/replication.go
@@ -201,7 +201,7 @@
 		return
 	}
 	progress := r.progress[from]
-	if r.role != Leader || progress == nil || m.Term < r.hardState.Term {
+	if r.role != Leader || progress == nil || m.Term < r.hardState.Term || m.Match > r.log.lastIndex() {
 		return
 	}
 	progress.LastAck = max(progress.LastAck, m.SentAt)
