--- a/internal/member/pimpeer/fuzz_test.go
+++ b/internal/member/pimpeer/fuzz_test.go
@@ -13,8 +13,10 @@
 func FuzzFrame(f *testing.F) {
 	consensus, _ := pimmessage.Encode(pimconsensus.AppendRequest{Term: 3, Entries: []pimconsensus.Entry{{Index: 1, Term: 3}}})
 	for _, message := range []pimmessage.PeerMessage{
-		pimmessage.Consensus{Group: "jobs", Body: consensus}, pimmessage.CallRequest{ID: 1, Body: []byte("x")},
-		pimmessage.LeaderReply{Leader: "a"}, pimmessage.Gossip{},
+		pimmessage.Consensus{Group: "jobs", Body: consensus},
+		pimmessage.CallRequest{ID: 1, Body: []byte("x")},
+		pimmessage.LeaderReply{Leader: "a"},
+		pimmessage.Gossip{},
 	} {
 		body, _ := pimmessage.Encode(message)
 		frame, _ := pimpeer.EncodeFrame(pimpeer.Frame{From: "a", To: "b", Body: body})
