Move a slow best-effort run only if another host has room for it

Change: a run is stopped only if a host that may take it has room now. Test: TestSlowBestEffortRuns "stay where no other host has room for them", fails before.

--- a/internal/job/pimplan/migrate.go
+++ b/internal/job/pimplan/migrate.go
@@ -1,6 +1,7 @@
 package pimplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
@@ -37,7 +38,8 @@
 		if elapsed := run.ListedAt - start.at; elapsed >= speedWindow {
 			speed := float64(run.Status.ProgressPercent-start.percent) / 100 * step.Estimate.Seconds() /
 				elapsed.Seconds()
-			if speed < migrationSpeed && finishesSoonerElsewhere(step, run.Status.ProgressPercent, speed) {
+			if speed < migrationSpeed && finishesSoonerElsewhere(step, run.Status.ProgressPercent, speed) &&
+				p.hasRoomElsewhere(run.Status.Key, step, h) {
 				p.unsuitableWorkers[run.Status.Key] = append(p.unsuitableWorkers[run.Status.Key], h.worker.ID)
 				plan.Stops = append(plan.Stops, StopRun{
 					Worker: h.worker.ID, Key: run.Status.Key, Number: run.Status.Number,
@@ -51,6 +53,20 @@
 	h.progress.windowStarts = starts
 }
 
+// hasRoomElsewhere reports whether a host other than from can take the task now. Without one, a run that is stopped waits
+// among all others and its work is lost for nothing.
+func (p *Planner) hasRoomElsewhere(key pimjob.TaskKey, step *pimjob.Step, from *host) bool {
+	job := p.state.Job(key.Job)
+	c := candidate{job: job, key: stepKey{key.Job, key.Occurrence, key.Step}}
+	return slices.ContainsFunc(p.sortedHosts, func(h *host) bool {
+		if h == from || !p.mayRunOn(job, step, h) || slices.Contains(p.unsuitableWorkers[key], h.worker.ID) {
+			return false
+		}
+		_, ok := p.score(c, step, h)
+		return ok
+	})
+}
+
 // finishesSoonerElsewhere compares the remaining time of a run at its present speed with that on
 // another host at full speed. A run without checkpoints starts over there.
 func finishesSoonerElsewhere(step *pimjob.Step, percent int, speed float64) bool {
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -186,8 +186,7 @@
 func (p *Planner) rankHosts(c candidate, step *pimjob.Step, rack string) *hostHeap {
 	ranked := &hostHeap{}
 	for _, h := range p.sortedHosts {
-		if !h.schedulable || h.worker.Service != c.job.Queue.Service || !h.worker.HasLabel(step.RequiredLabel) ||
-			(rack != "" && h.worker.Rack != rack) {
+		if !p.mayRunOn(c.job, step, h) || (rack != "" && h.worker.Rack != rack) {
 			continue
 		}
 		if score, ok := p.score(c, step, h); ok {
@@ -198,6 +197,11 @@
 	return ranked
 }
 
+// mayRunOn reports whether a host may get new runs and is of the kind that the step needs.
+func (p *Planner) mayRunOn(job *pimjob.Job, step *pimjob.Step, h *host) bool {
+	return h.schedulable && h.worker.Service == job.Queue.Service && h.worker.HasLabel(step.RequiredLabel)
+}
+
 // takeBestHost assigns a task to the best host and returns it, or nil. A host on which the task
 // failed or was slow is taken only if no other can take it.
 func (p *Planner) takeBestHost(c candidate, step *pimjob.Step, key pimjob.TaskKey, ranked *hostHeap) *host {
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -379,6 +379,13 @@
 			}
 		})
 	}
+	t.Run("stay where no other host has room for them", func(t *testing.T) {
+		sim := newSimulation(t, 2)
+		sim.speeds["w00"], sim.unusable["w01"] = 0.1, true
+		sim.submit("job", 2, bestEffort("any", 4))
+		sim.run(7 * time.Second)
+		assert.Equal(t, sim.ends[pimjob.EndStopped], 0)
+	})
 	t.Run("stay where they finish sooner", func(t *testing.T) {
 		sim := newSimulation(t, 8)
 		sim.speeds["w00"] = 0.34
