--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,12 @@
 # bench-process  measure the resource usage of a cluster of processes
 # matrix         run the test of every fault at every step and regenerate docs/FAULTS.md
 # soak           run processes under random faults: SEEDS=10-20 TIME=30s
+# fuzz           fuzz each decoder for FUZZ_TIME
+# regression     play the light days of the deployments in force: BENCH=program PAGES=folder
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix soak
+.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix soak fuzz regression
 
 build:
 	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
@@ -56,3 +58,14 @@
 TIME ?= 30s
 soak:
 	PIM_SOAK_SEEDS=$(SEEDS) PIM_SOAK_TIME=$(TIME) $(GO) test ./platform/pimadapter -run TestSoak -v -timeout 60m
+
+FUZZ_TIME ?= 30s
+fuzz:
+	@for package in ./platform/pimadapter ./internal/job/pimjob ./internal/member/pimpeer; do \
+		for name in $$($(GO) test -list '^Fuzz' $$package | grep ^Fuzz); do \
+			$(GO) test $$package -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; \
+		done; \
+	done
+
+regression:
+	sh test/regression.sh $(BENCH) $(PAGES)
