Show the transport's counters and the planner's stops as metrics, log panics of peers' messages

Change: pimpeer.Counters.Values feeds /metrics of all daemons; the transport logs sender, kind, size and stack; planner-stops counts stops by reason. Test: TestTransport "a message whose handling panics is counted and the next one arrives". No decision changes.

--- a/internal/base/pimmetric/metric.go
+++ b/internal/base/pimmetric/metric.go
@@ -65,9 +65,21 @@
 	m.scope.Tagged(map[string]string{"how": kind}).Counter("run-ends").Inc(1)
 }
 
+// CountStop counts a run that the planner stops, by its reason.
+func (m *Metrics) CountStop(reason string) {
+	m.scope.Tagged(map[string]string{"why": reason}).Counter("planner-stops").Inc(1)
+}
+
 // SetGauge sets a gauge.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
+// SetGauges sets gauges by their names.
+func (m *Metrics) SetGauges(values map[string]float64) {
+	for name, value := range values {
+		m.SetGauge(name, value)
+	}
+}
+
 // WriteText writes all counters and gauges, sorted by name and labels.
 func (m *Metrics) WriteText(writer io.Writer) error {
 	m.mutex.Lock()
--- a/internal/entry/pimdaemon/daemon.go
+++ b/internal/entry/pimdaemon/daemon.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	d.transport, err = pimpeer.NewTransport(d.identity.memberID(), d.settings.ListenPeer, d.onPeer)
+	d.transport, err = pimpeer.NewTransport(d.identity.memberID(), d.settings.ListenPeer, d.onPeer, d.logger)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/pimdaemon/http.go
+++ b/internal/entry/pimdaemon/http.go
@@ -218,12 +218,7 @@
 
 func (s *httpServer) getMetrics(ctx *fasthttp.RequestCtx, _ string) {
 	d := s.daemon
-	counters := d.transport.Counters()
-	d.metrics.SetGauge("peer-frames-sent", float64(counters.Sent.Load()))
-	d.metrics.SetGauge("peer-bytes-sent", float64(counters.BytesSent.Load()))
-	d.metrics.SetGauge("peer-bytes-received", float64(counters.BytesReceived.Load()))
-	d.metrics.SetGauge("peer-frames-refused", float64(counters.Dropped.Load()))
-	d.metrics.SetGauge("peer-silent-connections", float64(counters.SilentConnections.Load()))
+	d.metrics.SetGauges(d.transport.Counters().Values())
 	d.metrics.SetGauge("endpoint-sends-running", float64(d.sends.RunningWorkers()))
 	if status, ok := s.status(ctx); ok {
 		d.metrics.SetGauge("config-version", float64(status.Version))
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -252,6 +252,7 @@
 	for _, stop := range plan.Stops {
 		c.logger.Info().Stringer("task", stop.Key).Int("run", stop.Number).Str("worker", stop.Worker).
 			Str("why", stop.Reason).Msg("planner stops a run")
+		c.metrics.CountStop(stop.Reason)
 		l.fleet.Stop(stop.Worker, stop.Key, stop.Number, c.now)
 	}
 	for _, throttle := range plan.Throttles {
--- a/internal/member/pimpeer/transport.go
+++ b/internal/member/pimpeer/transport.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
@@ -34,6 +36,7 @@
 		self     string
 		listener net.Listener
 		receive  ReceiveFunc
+		logger   *log.Logger
 		counters Counters
 
 		mutex sync.Mutex
@@ -76,12 +79,12 @@
 
 // NewTransport returns a transport for the daemon with id self and listens on address. It
 // fails with AddressInUse.
-func NewTransport(self, address string, receive ReceiveFunc) (*Transport, error) {
+func NewTransport(self, address string, receive ReceiveFunc, logger *log.Logger) (*Transport, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, pimcode.New(pimcode.AddressInUse, "listen-peer %q: %v", address, err)
 	}
-	return &Transport{self: self, listener: listener, receive: receive, peers: map[string]*outgoing{}}, nil
+	return &Transport{self: self, listener: listener, receive: receive, logger: logger, peers: map[string]*outgoing{}}, nil
 }
 
 // Address returns the address on which the transport listens.
@@ -90,6 +93,18 @@
 // Counters returns the transport's counters.
 func (t *Transport) Counters() *Counters { return &t.counters }
 
+// Values returns the counters by the names under which daemons show them as metrics.
+func (c *Counters) Values() map[string]float64 {
+	return map[string]float64{
+		"peer-frames-sent":        float64(c.Sent.Load()),
+		"peer-bytes-sent":         float64(c.BytesSent.Load()),
+		"peer-bytes-received":     float64(c.BytesReceived.Load()),
+		"peer-frames-refused":     float64(c.Dropped.Load()),
+		"peer-silent-connections": float64(c.SilentConnections.Load()),
+		"peer-panics":             float64(c.Panics.Load()),
+	}
+}
+
 // Run accepts connections and pings peers until ctx is cancelled.
 func (t *Transport) Run(ctx context.Context) error {
 	closed := pimroutine.Start(ctx, func(ctx context.Context) error {
@@ -157,8 +172,11 @@
 		if err != nil {
 			return
 		}
-		if cause, _ := pimroutine.Recover(func() { t.receive(frame.From, frame.To, message) }); cause != nil {
+		cause, stack := pimroutine.Recover(func() { t.receive(frame.From, frame.To, message) })
+		if cause != nil {
 			t.counters.Panics.Add(1)
+			t.logger.Error().Any("cause", cause).Str("from", frame.From).Str("kind", fmt.Sprintf("%T", message)).
+				Int("bytes", len(frame.Body)).Bytes("stack", stack).Msg("handling a message of a peer panicked")
 		}
 	}
 }
--- a/internal/member/pimpeer/transport_test.go
+++ b/internal/member/pimpeer/transport_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
@@ -17,7 +19,7 @@
 
 func start(t *testing.T, self string, receive pimpeer.ReceiveFunc) *pimpeer.Transport {
 	t.Helper()
-	transport, err := pimpeer.NewTransport(self, "127.0.0.1:0", receive)
+	transport, err := pimpeer.NewTransport(self, "127.0.0.1:0", receive, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := pimroutine.Start(ctx, transport.Run)
@@ -44,6 +46,21 @@
 			assert.Equal(t, <-got, uint64(i))
 		}
 	})
+	t.Run("a message whose handling panics is counted and the next one arrives", func(t *testing.T) {
+		got := make(chan uint64, 1)
+		receiver := start(t, "b", func(_, _ string, message pimmessage.PeerMessage) {
+			id := message.(pimmessage.CallRequest).ID
+			if id == 1 {
+				panic("broken message")
+			}
+			got <- id
+		})
+		sender := start(t, "a", func(string, string, pimmessage.PeerMessage) {})
+		sender.Send(receiver.Address(), "b", pimmessage.CallRequest{ID: 1})
+		sender.Send(receiver.Address(), "b", pimmessage.CallRequest{ID: 2})
+		assert.Equal(t, <-got, uint64(2))
+		assert.Equal(t, receiver.Counters().Panics.Load(), int64(1))
+	})
 	t.Run("messages for a peer that does not read are bounded by their size", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -84,7 +101,7 @@
 	})
 	t.Run("an address in use fails with AddressInUse", func(t *testing.T) {
 		taken := start(t, "a", func(string, string, pimmessage.PeerMessage) {})
-		_, err := pimpeer.NewTransport("b", taken.Address(), nil)
+		_, err := pimpeer.NewTransport("b", taken.Address(), nil, nil)
 		assert.Equal(t, pimcode.Of(err), pimcode.AddressInUse)
 	})
 }
