--- a/internal/job/pimcontrol/results_test.go
+++ b/internal/job/pimcontrol/results_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,15 +22,16 @@
 type (
 	noTransport struct{}
 
-	// heldWorkers never responds before the context ends.
-	heldWorkers struct{}
+	// heldWorkers counts the calls and never responds before the context ends.
+	heldWorkers struct{ calls atomic.Int64 }
 )
 
 // Send drops the message.
 func (noTransport) Send(string, string, pimmessage.PeerMessage) {}
 
 // Call waits for the end of the context.
-func (heldWorkers) Call(ctx context.Context, call pimfleet.Call) pimfleet.Result {
+func (w *heldWorkers) Call(ctx context.Context, call pimfleet.Call) pimfleet.Result {
+	w.calls.Add(1)
 	<-ctx.Done()
 	return pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
 }
@@ -42,7 +44,7 @@
 	c, err := New(Settings{
 		Address: "a:1", DataDir: t.TempDir(), Bootstrap: true, InitialMembers: []string{"a:1"},
 		Fleet: pimfleet.Policy{Lease: 8 * time.Second, Wait: time.Second},
-	}, heldWorkers{}, pimmetric.NewMetrics(), logger)
+	}, &heldWorkers{}, pimmetric.NewMetrics(), logger)
 	assert.NilError(t, err)
 	c.SetTransport(noTransport{}, pimforward.NewForwarder(c.ID(), nil, c, logger))
 	written := pimroutine.Start(ctx, func(ctx context.Context) error { return c.disk.run(ctx, c.events) })
@@ -103,3 +105,29 @@
 		assert.NilError(t, c.handleEvent(renewalResult(term)))
 	})
 }
+
+// TestPausedLeader checks that a leader that is paused between a decision and the call that follows from it doesn't make
+// the call once another leader may have been elected.
+func TestPausedLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		calls int64
+	}{
+		"paused for as long as its permission lasts": {commandValidity, 0},
+		"with a permission that lasts":               {-time.Minute, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			control := startLeader(ctx, t)
+			workers := &heldWorkers{}
+			control.workers = workers
+			control.now = pimclock.Now() - c.pause
+			target := pimfleet.Target{ID: "w", Generation: 1, Address: "w:1"}
+			control.call(ctx, pimfleet.StopRun{Target: target, Token: control.leadership.term})
+			cancel()
+			control.commands.StopAndWait()
+			assert.Equal(t, workers.calls.Load(), c.calls)
+		})
+	}
+}
