--- a/internal/entry/pimdaemon/daemon.go
+++ b/internal/entry/pimdaemon/daemon.go
@@ -96,6 +96,8 @@
 	decodeWorkers     = 4
 	decodeQueueSize   = 1024
 	drainPoll         = 50 * time.Millisecond
+	// lockWaitLogged is the time to lock the data folder from which on a line is logged.
+	lockWaitLogged = 100 * time.Millisecond
 )
 
 // NewDaemon locks and loads the data folder and opens the listeners. Run starts the daemon.
@@ -127,6 +129,10 @@
 	if err != nil {
 		return err
 	}
+	if waited := time.Since(d.startedAt); waited > lockWaitLogged {
+		d.logger.Warn().Str("folder", d.settings.DataDir).Dur("waited", waited).
+			Msg("another process held the lock of the data folder")
+	}
 	d.lock = lock
 	if d.identity, err = openIdentity(d.settings.DataDir, d.settings.Name); err != nil {
 		return err
