Add organisations with keys and quotas to the job state

Change: a configuration holds organisations; queues that require a key belong to the organisation whose key the caller gave. The leader checks keys where it confirms its leadership. A start beyond a quota has no effect, on every replica.

--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -38,8 +38,14 @@
 		reads         []pendingRead
 		nextConfirmAt time.Duration
 
-		// submitting holds, by job ID, the responders of submissions that are not committed yet.
-		submitting map[string][]responder
+		// submitting holds, by job ID, the submissions that are not committed yet.
+		submitting map[string]*submission
+	}
+
+	// submission is a job that is proposed, with all requests that wait for its commit.
+	submission struct {
+		organisation string
+		responders   []responder
 	}
 
 	// proposal is a log entry with everything that waits for its commit.
@@ -94,7 +100,7 @@
 	}
 	if isLeader && c.leadership == nil {
 		c.leadership = &leadership{
-			term: c.replica.Term(), proposed: map[uint64]proposal{}, submitting: map[string][]responder{},
+			term: c.replica.Term(), proposed: map[uint64]proposal{}, submitting: map[string]*submission{},
 		}
 		c.logger.Info().Uint64("term", c.leadership.term).Msg("elected leader of the job group")
 	}
@@ -119,8 +125,8 @@
 		p.respond(pimrpc.OutcomeUnknown{})
 	}
 	l.pending.respond(pimrpc.NotLeader{})
-	for _, responders := range l.submitting {
-		for _, respond := range responders {
+	for _, submission := range l.submitting {
+		for _, respond := range submission.responders {
 			respond(pimrpc.OutcomeUnknown{})
 		}
 	}
@@ -317,7 +323,7 @@
 	}
 	batch.respond(pimrpc.Done{})
 	for _, id := range batch.jobIDs {
-		for _, respond := range l.submitting[id] {
+		for _, respond := range l.submitting[id].responders {
 			respond(pimrpc.Done{})
 		}
 		delete(l.submitting, id)
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -85,20 +85,30 @@
 		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownQueue(request.Host, request.Path) })
 		return
 	}
-	if c.state.Job(id) != nil {
-		l.enqueueRead(c, respond, func() pimrpc.Response { return pimrpc.Done{} })
+	organisation, ok := c.state.Config().Authorize(queue, request.Key)
+	if !ok {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownKey(request.Address) })
 		return
 	}
-	if responders, ok := l.submitting[id]; ok {
-		l.submitting[id] = append(responders, respond)
+	if job := c.state.Job(id); job != nil {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, job.Organisation, organisation) })
+		return
+	}
+	if earlier, ok := l.submitting[id]; ok {
+		if earlier.organisation != organisation {
+			l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, earlier.organisation, organisation) })
+			return
+		}
+		earlier.responders = append(earlier.responders, respond)
 		return
 	}
-	l.submitting[id] = []responder{respond}
-	l.pending.ops = append(l.pending.ops, pimjob.Submit{Submission: request.Submission, Queue: *queue})
+	l.submitting[id] = &submission{organisation: organisation, responders: []responder{respond}}
+	l.pending.ops = append(l.pending.ops,
+		pimjob.Submit{Submission: request.Submission, Queue: *queue, Organisation: organisation})
 	l.pending.jobIDs = append(l.pending.jobIDs, id)
 	c.metrics.Add("submitted", 1)
-	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Int("steps", len(request.Submission.Steps)).
-		Msg("job submission is proposed")
+	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Str("organisation", organisation).
+		Int("steps", len(request.Submission.Steps)).Msg("job submission is proposed")
 }
 
 // rejectUnknownQueue returns the response to a request whose address belonged to no queue when it was
@@ -115,33 +125,48 @@
 }
 
 func (c *Control) lookup(request pimrpc.Lookup) pimrpc.Response {
-	queue, id := c.state.Config().FindQueue(request.Host, request.Path)
-	// A job may outlive its queue in the configuration. Its path ends with its ID.
-	if queue == nil && len(request.Path) >= jobIDLength {
-		id = request.Path[len(request.Path)-jobIDLength:]
-	}
+	queue, id := c.findTarget(request.Address)
 	if job := c.state.Job(id); job != nil {
+		if rejected := c.authorizeForJob(request.Address, job); rejected != nil {
+			return c.reportRejection(request.Address, rejected)
+		}
 		return pimrpc.JobState{State: job.State}
 	}
 	if queue == nil {
 		return c.rejectUnknownQueue(request.Host, request.Path)
 	}
+	if _, ok := c.state.Config().Authorize(queue, request.Key); !ok {
+		return c.rejectUnknownKey(request.Address)
+	}
 	if id == "" {
 		return pimrpc.Pending{Count: c.state.CountPending(queue.Name)}
 	}
 	return pimrpc.Rejected{Code: pimcode.JobUnknown, Detail: "no job " + id}
 }
 
+// findTarget returns the queue and the job ID of an address. A job may outlive its queue in the configuration; its
+// path ends with its ID.
+func (c *Control) findTarget(address pimrpc.Address) (*pimjob.Queue, string) {
+	queue, id := c.state.Config().FindQueue(address.Host, address.Path)
+	if queue == nil && len(address.Path) >= jobIDLength {
+		id = address.Path[len(address.Path)-jobIDLength:]
+	}
+	return queue, id
+}
+
 func (c *Control) cancel(request pimrpc.Cancel, respond responder) {
 	l := c.leadership
-	_, id := c.state.Config().FindQueue(request.Host, request.Path)
-	// As in lookup, the job may outlive its queue.
-	if id == "" && len(request.Path) >= jobIDLength {
-		id = request.Path[len(request.Path)-jobIDLength:]
-	}
-	_, submitting := l.submitting[id]
+	_, id := c.findTarget(request.Address)
 	job := c.state.Job(id)
+	_, submitting := l.submitting[id]
 	switch {
+	case c.authorizeCancel(request.Address) != nil:
+		l.enqueueRead(c, respond, func() pimrpc.Response {
+			if rejected := c.authorizeCancel(request.Address); rejected != nil {
+				return c.reportRejection(request.Address, rejected)
+			}
+			return pimrpc.OutcomeUnknown{}
+		})
 	case submitting || (job != nil && !job.State.IsEnded()):
 		c.logger.Info().Str("job", id).Msg("cancellation of a job is proposed")
 		l.enqueueWrite(respond, pimjob.Cancel{ID: id})
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -61,7 +61,7 @@
 	if s.tables.Jobs[op.Submission.ID] != nil {
 		return nil
 	}
-	job := &Job{Submission: op.Submission, Queue: op.Queue, AcceptedAt: s.tables.Now}
+	job := &Job{Submission: op.Submission, Queue: op.Queue, Organisation: op.Organisation, AcceptedAt: s.tables.Now}
 	for range max(1, op.Submission.Repeat) {
 		occurrence := Occurrence{OpenSteps: len(op.Submission.Steps)}
 		for _, step := range op.Submission.Steps {
@@ -92,7 +92,7 @@
 }
 
 func (s *State) start(op Start) []Change {
-	task, _, job := s.Task(op.Key)
+	task, step, job := s.Task(op.Key)
 	worker := s.tables.Workers[op.Worker]
 	if task == nil || job.State.IsEnded() || task.Done || task.Run != nil || op.Number <= task.LastRun {
 		return nil
@@ -100,6 +100,9 @@
 	if worker == nil || worker.Generation != op.Generation || worker.Draining || s.tables.OutOfService[worker.Domain] {
 		return nil
 	}
+	if !s.quotaAdmits(op, step, job) {
+		return nil
+	}
 	task.LastRun = op.Number
 	task.Run = &Run{Number: op.Number, Worker: op.Worker, Generation: op.Generation, StartedAt: s.tables.Now}
 	if job.State == Queued {
@@ -111,6 +114,26 @@
 	return []Change{RunStarted{live}}
 }
 
+// quotaAdmits reports whether the quota of a job's organisation admits a start. The members of a gang are admitted with
+// the first one, since a gang of which some members are missing does not work.
+func (s *State) quotaAdmits(op Start, step *Step, job *Job) bool {
+	organisation := s.Organisation(job)
+	if organisation == nil {
+		return true
+	}
+	need := step.Need.Amounts()
+	if step.Gang {
+		tasks := job.Occurrences[op.Key.Occurrence].Steps[op.Key.Step].Tasks
+		for i := range tasks {
+			if tasks[i].Run != nil {
+				return true
+			}
+		}
+		need = need.Times(int64(len(tasks)))
+	}
+	return organisation.Admits(s.usage[job.Organisation], need)
+}
+
 func (s *State) saveCheckpoint(op SaveCheckpoint) []Change {
 	task, _, _ := s.Task(op.Key)
 	if task != nil && task.Run != nil && task.Run.Number == op.Number {
@@ -127,7 +150,7 @@
 	live := LiveRun{op.Key, *task.Run}
 	task.Run = nil
 	task.EndedAt = s.tables.Now
-	delete(s.liveRuns[op.Worker], op.Key)
+	s.removeLive(live)
 	if op.Checkpoint != "" {
 		task.Checkpoint = op.Checkpoint
 	}
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -15,6 +15,8 @@
 	Submit struct {
 		Submission Submission `msgpack:"s"`
 		Queue      Queue      `msgpack:"q"`
+		// Organisation is the name of the owner of the job, or "".
+		Organisation string `msgpack:"g,omitempty"`
 	}
 
 	// Cancel ends a job. Its live runs are stopped afterwards.
@@ -23,9 +25,9 @@
 	}
 
 	// Start places a run of a task on a worker. It has no effect if the job has ended, the task is
-	// done or has a live run, the number is not higher than that of the task's last run, or the
-	// worker is unknown, is draining, is in a failure domain out of service or has another
-	// generation.
+	// done or has a live run, the number is not higher than that of the task's last run, the quota of
+	// the job's organisation does not admit it, or the worker is unknown, is draining, is in a failure
+	// domain out of service or has another generation.
 	Start struct {
 		Key        TaskKey `msgpack:"k"`
 		Number     int     `msgpack:"n"`
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -9,15 +9,17 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 )
 
 type (
-	// State is the whole replicated state. liveRuns, by worker, and openJobs are derived from
-	// tables.
+	// State is the whole replicated state. liveRuns, by worker, openJobs and usage, by organisation,
+	// are derived from tables.
 	State struct {
 		tables   tables
 		liveRuns map[string]map[TaskKey]LiveRun
 		openJobs map[string]*Job
+		usage    map[string]pimorganisation.Resources
 	}
 
 	// tables are the stored part of the state. OutOfService holds failure domains, EndedGenerations
@@ -149,6 +151,7 @@
 func (s *State) rebuildIndexes() {
 	s.liveRuns = map[string]map[TaskKey]LiveRun{}
 	s.openJobs = map[string]*Job{}
+	s.usage = map[string]pimorganisation.Resources{}
 	for id, job := range s.tables.Jobs {
 		if !job.State.IsEnded() {
 			s.openJobs[id] = job
@@ -179,6 +182,35 @@
 		s.liveRuns[live.Run.Worker] = runs
 	}
 	runs[live.Key] = live
+	if _, step, job := s.Task(live.Key); job != nil && job.Organisation != "" {
+		s.usage[job.Organisation] = s.usage[job.Organisation].Add(step.Need.Amounts())
+	}
+}
+
+// removeLive removes a run that addLive added.
+func (s *State) removeLive(live LiveRun) {
+	delete(s.liveRuns[live.Run.Worker], live.Key)
+	_, step, job := s.Task(live.Key)
+	if job == nil || job.Organisation == "" {
+		return
+	}
+	left := s.usage[job.Organisation].Sub(step.Need.Amounts())
+	if left == (pimorganisation.Resources{}) {
+		delete(s.usage, job.Organisation)
+		return
+	}
+	s.usage[job.Organisation] = left
+}
+
+// Usage returns what the live runs of an organisation request, best-effort tasks included.
+func (s *State) Usage(organisation string) pimorganisation.Resources { return s.usage[organisation] }
+
+// Organisation returns the owner of a job, or nil if it has none or the configuration in effect does not hold it.
+func (s *State) Organisation(job *Job) *pimorganisation.Organisation {
+	if job.Organisation == "" {
+		return nil
+	}
+	return pimorganisation.Find(s.tables.Config.Organisations, job.Organisation)
 }
 
 // Config returns the configuration in effect; version 0 means that there is none.
@@ -264,6 +296,19 @@
 	return best, path[len(best.Prefix):]
 }
 
+// Authorize returns the name of the organisation that has a key, or "" if the queue requires none. It returns false if
+// the queue requires a key and no organisation has this one.
+func (c *Config) Authorize(queue *Queue, key string) (string, bool) {
+	if !queue.RequiresKey {
+		return "", true
+	}
+	organisation := pimorganisation.FindByKey(c.Organisations, key)
+	if organisation == nil {
+		return "", false
+	}
+	return organisation.Name, true
+}
+
 // CountPending returns how many jobs of a queue have not started yet.
 func (s *State) CountPending(queue string) int {
 	count := 0
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 )
 
 type (
@@ -83,6 +85,8 @@
 		Attempts  int           `msgpack:"a,omitempty"`
 		Stretch   float64       `msgpack:"st,omitempty"`
 		Objective time.Duration `msgpack:"o,omitempty"`
+		// RequiresKey means that callers must give a key of an organisation, which then owns the job.
+		RequiresKey bool `msgpack:"k,omitempty"`
 	}
 
 	// Service is a pool of workers.
@@ -101,6 +105,8 @@
 		Text     []byte             `msgpack:"t"`
 		Queues   []Queue            `msgpack:"q"`
 		Services map[string]Service `msgpack:"s"`
+		// Organisations have distinct names and keys, see pimorganisation.Check.
+		Organisations []pimorganisation.Organisation `msgpack:"g,omitempty"`
 	}
 
 	// Worker is one generation of a machine that runs tasks. Each restart of the worker begins a
@@ -162,8 +168,11 @@
 	// Job is an accepted submission, with the settings of its queue at that time. AcceptedAt and
 	// EndedAt are in milliseconds since 1970. OpenOccurrences counts those not done.
 	Job struct {
-		Submission      Submission   `msgpack:"s"`
-		Queue           Queue        `msgpack:"q"`
+		Submission Submission `msgpack:"s"`
+		Queue      Queue      `msgpack:"q"`
+		// Organisation is the name of the organisation whose key the caller gave, or "" for a queue that requires
+		// no key.
+		Organisation    string       `msgpack:"g,omitempty"`
 		AcceptedAt      int64        `msgpack:"a"`
 		EndedAt         int64        `msgpack:"e,omitempty"`
 		State           JobState     `msgpack:"st"`
@@ -240,6 +249,11 @@
 	return Resources{r.Millicores + more.Millicores, r.MemoryMB + more.MemoryMB, r.GPUs + more.GPUs}
 }
 
+// Amounts returns r in the form in which quotas are given.
+func (r Resources) Amounts() pimorganisation.Resources {
+	return pimorganisation.Resources{CPUMillis: r.Millicores, MemoryMB: r.MemoryMB, Accelerators: r.GPUs}
+}
+
 // Reserved returns what a task of the step takes from a worker's free capacity. Best-effort tasks
 // reserve no processor time.
 func (s *Step) Reserved() Resources {
--- a/internal/job/pimrpc/messages.go
+++ b/internal/job/pimrpc/messages.go
@@ -17,24 +17,29 @@
 	// Response is the leader's response to a Request.
 	Response interface{ isResponse() }
 
-	// Submit submits a job to the queue that the host and path of the caller's request select.
+	// Address is where a caller's request goes: its host and path select the queue. Key is the key that the caller
+	// gave, or "".
+	Address struct {
+		Host string `msgpack:"h"`
+		Path string `msgpack:"p"`
+		Key  string `msgpack:"k,omitempty"`
+	}
+
+	// Submit submits a job to a queue.
 	Submit struct {
-		Host       string            `msgpack:"h"`
-		Path       string            `msgpack:"p"`
+		Address    `msgpack:",inline"`
 		Submission pimjob.Submission `msgpack:"s"`
 	}
 
 	// Lookup asks for the state of the job at a host and path, or, where the path ends at a queue,
 	// for the number of its jobs that have not started.
 	Lookup struct {
-		Host string `msgpack:"h"`
-		Path string `msgpack:"p"`
+		Address `msgpack:",inline"`
 	}
 
 	// Cancel cancels the job at a host and path.
 	Cancel struct {
-		Host string `msgpack:"h"`
-		Path string `msgpack:"p"`
+		Address `msgpack:",inline"`
 	}
 
 	// Heartbeat is the periodic report of a worker on itself.
--- a/internal/state/pimmanifest/manifest.go
+++ b/internal/state/pimmanifest/manifest.go
@@ -7,16 +7,13 @@
 	"encoding/hex"
 	"fmt"
 	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 )
 
 type (
-	// Resources are the resources that a task needs or that a worker has. 1000 CPUMillis are
-	// one CPU.
-	Resources struct {
-		CPUMillis    int64 `json:"cpu-millis" msgpack:"c"`
-		MemoryMB     int64 `json:"memory-mb" msgpack:"m"`
-		Accelerators int64 `json:"accelerators" msgpack:"a"`
-	}
+	// Resources are the resources that a task needs or that a worker has.
+	Resources = pimorganisation.Resources
 
 	// Service is a latency-critical service, of which Replicas tasks run at all times. Requests
 	// to a service with a higher Priority go first. Idempotent requests may be sent again if it
@@ -47,12 +44,8 @@
 		Checkpoint     bool
 	}
 
-	// Team owns services and jobs. A zero amount in Quota means no limit.
-	Team struct {
-		Name   string
-		Weight int
-		Quota  Resources
-	}
+	// Team is an organisation in a manifest, where it has no keys.
+	Team = pimorganisation.Organisation
 
 	// Manifest is a declared state of the cluster. Manifests are ordered by Number. It is
 	// stored under its Go field names, as are Service, BatchJob and Team.
@@ -83,28 +76,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Add returns r plus other.
-func (r Resources) Add(other Resources) Resources {
-	return Resources{r.CPUMillis + other.CPUMillis, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
-}
-
-// Sub returns r minus other.
-func (r Resources) Sub(other Resources) Resources {
-	return Resources{r.CPUMillis - other.CPUMillis, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
-}
-
-// Fits reports whether no amount of r exceeds that of free.
-func (r Resources) Fits(free Resources) bool {
-	return r.CPUMillis <= free.CPUMillis && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
-}
-
-// WithinQuota reports whether r fits into quota, of which a zero amount means no limit.
-func (r Resources) WithinQuota(quota Resources) bool {
-	within := func(amount, limit int64) bool { return limit == 0 || amount <= limit }
-	return within(r.CPUMillis, quota.CPUMillis) && within(r.MemoryMB, quota.MemoryMB) &&
-		within(r.Accelerators, quota.Accelerators)
-}
-
 // ServiceNamed returns the service with the given name.
 func (m *Manifest) ServiceNamed(name string) (Service, bool) {
 	for _, service := range m.Services {
@@ -127,10 +98,8 @@
 
 // TeamNamed returns the team with the given name. An undeclared team has weight 1 and no quota.
 func (m *Manifest) TeamNamed(name string) Team {
-	for _, team := range m.Teams {
-		if team.Name == name {
-			return team
-		}
+	if team := pimorganisation.Find(m.Teams, name); team != nil {
+		return *team
 	}
 	return Team{Name: name, Weight: 1}
 }
