Keep the starts of a plan within the quotas of organisations

Cause: the state gives a start beyond a quota no effect, so that a planner that does not know quotas plans it again with each plan. Change: each plan counts what its starts use of the quota of their organisation.

--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -95,7 +95,8 @@
 // place starts the tasks of a step as far as hosts can take them.
 func (p *Planner) place(c candidate, unplaced unplaceable, placements []placement, plan *Plan) []placement {
 	step := &c.job.Submission.Steps[c.key.step]
-	if unplaced.contains(c, step) ||
+	quota := p.quotaOf(c.job)
+	if !quota.admits(step.Need, 1) || unplaced.contains(c, step) ||
 		(step.BestEffort && !c.starved && unplaced.countBestEffort() >= maxUnplaceableBestEffort) {
 		return placements
 	}
@@ -112,10 +113,14 @@
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	for _, index := range c.tasks {
 		key := c.taskKey(index)
+		if !quota.admits(step.Need, 1) {
+			return placements
+		}
 		h := p.takeBestHost(c, step, key, ranked)
 		if h == nil {
 			return placements
 		}
+		quota.add(step.Need, 1)
 		if c.starved {
 			// One run ends the starvation; the other tasks wait for a better host.
 			c.starved = false
@@ -136,6 +141,10 @@
 // placeGang starts all tasks of a step or none, on a single rack if the step asks for it and one can
 // take them.
 func (p *Planner) placeGang(c candidate, step *pimjob.Step, placements []placement, plan *Plan) []placement {
+	quota := p.quotaOf(c.job)
+	if !quota.admits(step.Need, len(c.tasks)) {
+		return placements
+	}
 	racks := []string{""}
 	if step.SameRack {
 		racks = append(p.racks(), "")
@@ -160,6 +169,7 @@
 			}
 			continue
 		}
+		quota.add(step.Need, len(chosen))
 		for _, member := range chosen {
 			plan.Starts = append(plan.Starts, pimjob.Start{
 				Key: member.key, Number: number, Worker: member.host.worker.ID,
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -48,6 +48,8 @@
 		// pausedUntil is when a job with many of them is tried again.
 		refusedStarts map[string]int
 		pausedUntil   map[string]time.Duration
+		// quotas holds, by organisation, what the current plan uses of its quota.
+		quotas map[string]*quotaUse
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -214,6 +216,7 @@
 func (p *Planner) Plan(now time.Duration, wallClock int64) Plan {
 	var plan Plan
 	p.refreshJobs(now, wallClock)
+	p.quotas = map[string]*quotaUse{}
 	for _, h := range p.sortedHosts {
 		h.schedulable = p.isSchedulable(h, now)
 		h.backingOff = now < h.failures.backoffUntil
