Pass requests on to a leader that the sending daemon can't reach

Cause: where two failure domains can't reach each other while a third one reaches both, the daemons of one of them found no leader and rejected all requests, though a control daemon could have passed them on. Change: a control daemon says whether the leader replies to it. A daemon to which the leader hasn't replied for two seconds sends its requests through such a control daemon, which passes them on once and never to another one.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -70,7 +70,9 @@
 		peerBytes atomic.Int64
 		commands  pond.Pool
 		renewals  pond.Pool
-		disk      *disk
+		// passedOn runs requests that are passed on to the leader.
+		passedOn pond.Pool
+		disk     *disk
 
 		replica *pimconsensus.Replica
 		state   *pimjob.State
@@ -134,6 +136,8 @@
 	// maxRenewals limits the concurrent renewals. They are long polls: each occupies its goroutine
 	// until a run ends on its worker.
 	maxRenewals = 1024
+	// maxPassedOn limits the requests that are passed on to the leader at the same time, and those that wait for it.
+	maxPassedOn = 128
 	// callQueueSize limits the calls that wait for a goroutine, for commands and renewals each.
 	callQueueSize = 8192
 	// joinInterval is the time between requests to join the group.
@@ -157,6 +161,7 @@
 		events:   make(chan event, eventQueueSize),
 		commands: pond.NewPool(maxCommands, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
 		renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
+		passedOn: pond.NewPool(maxPassedOn, pond.WithQueueSize(maxPassedOn), pond.WithNonBlocking(true)),
 	}
 	return c, c.open()
 }
@@ -257,6 +262,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	defer c.commands.Stop()
 	defer c.renewals.Stop()
+	defer c.passedOn.Stop()
 	for {
 		err := c.runWithDisk(ctx)
 		if ctx.Err() != nil {
--- a/internal/job/pimcontrol/control_test.go
+++ b/internal/job/pimcontrol/control_test.go
@@ -39,6 +39,8 @@
 		forwarder   *pimforward.Forwarder
 		diskFull    atomic.Bool
 		partitioned atomic.Bool
+		// unreachable is the address of another member between which and this one no message passes, or nil.
+		unreachable atomic.Pointer[string]
 	}
 
 	// link sends on behalf of one member.
@@ -78,12 +80,18 @@
 	l.group.mutex.Lock()
 	from, target := l.group.members[l.from], l.group.members[address]
 	l.group.mutex.Unlock()
-	if target == nil || from.partitioned.Load() || target.partitioned.Load() {
+	if target == nil || from.partitioned.Load() || target.partitioned.Load() ||
+		from.cannotReach(target) || target.cannotReach(from) {
 		return
 	}
 	target.control.Receive(from.control.ID(), to, message)
 }
 
+func (m *member) cannotReach(other *member) bool {
+	address := m.unreachable.Load()
+	return address != nil && *address == other.address
+}
+
 func newGroup(t *testing.T) *group {
 	t.Helper()
 	g := &group{t: t, members: map[string]*member{}, addresses: []string{"a:1", "b:1", "c:1"}}
@@ -193,6 +201,24 @@
 		oldLeader.partitioned.Store(false)
 		g.assertConfig(leader, 10)
 	})
+	t.Run("a daemon that cannot reach the leader is served through one that can", func(t *testing.T) {
+		g := newGroup(t)
+		leader := g.leader()
+		isolated := g.others(leader)[0]
+		g.members[isolated].unreachable.Store(&leader)
+		g.putConfig(isolated, 2)
+		g.assertConfig(isolated, 2)
+		assert.Assert(t, g.members[leader].control.IsLeader(), "the partial partition must not end the leadership")
+	})
+	t.Run("a daemon that nobody else reaches passes nothing on", func(t *testing.T) {
+		g := newGroup(t)
+		leader := g.leader()
+		others := g.others(leader)
+		g.members[leader].partitioned.Store(true)
+		g.members[others[0]].partitioned.Store(true)
+		_, err := g.members[others[1]].call(pimrpc.GetConfig{}, 4*time.Second)
+		assert.Assert(t, err != nil)
+	})
 	t.Run("a daemon whose disk was full rejoins the group", func(t *testing.T) {
 		g := newGroup(t)
 		leader := g.leader()
--- a/internal/job/pimcontrol/members.go
+++ b/internal/job/pimcontrol/members.go
@@ -27,6 +27,7 @@
 		Members: c.replica.Members().All(),
 		ConfirmedLeader: c.leadership != nil && c.leadership.ready && !c.replica.IsTransferring() &&
 			c.replica.HoldsLease(c.now),
+		Sender: c.id, ReachesLeader: c.forwarder.ReachesLeader(),
 	}
 }
 
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -1,6 +1,7 @@
 package pimcontrol
 
 import (
+	"context"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
@@ -24,6 +25,9 @@
 	}
 	l := c.leadership
 	if l == nil || !l.ready || c.replica.IsTransferring() {
+		if call.Indirect && c.passOn(call.Body, respond) {
+			return
+		}
 		leader := c.replica.LeaderID()
 		if leader == c.id {
 			leader = ""
@@ -53,6 +57,39 @@
 	}
 }
 
+const (
+	// passOnWait is how long a call that is passed on waits for a leader, and passOnTimeout how long for its response:
+	// less than the daemon that sent the call waits for this one.
+	passOnWait    = 100 * time.Millisecond
+	passOnTimeout = 450 * time.Millisecond
+)
+
+// passOn sends a request to the leader on behalf of a daemon that can't reach it. It returns false if this daemon can't
+// reach the leader either, or passes on too many requests already.
+func (c *Control) passOn(body []byte, respond responder) bool {
+	if !c.forwarder.ReachesLeader() {
+		return false
+	}
+	_, accepted := c.passedOn.TrySubmit(func() {
+		response, err := c.forwarder.PassOn(context.Background(), body,
+			pimforward.CallTimeouts{LeaderWait: passOnWait, Total: passOnTimeout})
+		switch {
+		case err == nil:
+			respond(response)
+		case pimcode.Of(err) == pimcode.NoLeader:
+			respond(pimrpc.NotLeader{})
+		default:
+			respond(pimrpc.OutcomeUnknown{})
+		}
+	})
+	if accepted {
+		c.metrics.Add("requests-passed-on", 1)
+	} else {
+		c.metrics.CountShed("passed-on")
+	}
+	return accepted
+}
+
 // respondTo returns the function that sends the response to a daemon's request.
 func (c *Control) respondTo(from string, id uint64) responder {
 	return func(response pimrpc.Response) {
--- a/internal/job/pimforward/forwarder.go
+++ b/internal/job/pimforward/forwarder.go
@@ -41,6 +41,10 @@
 		leader       string
 		term         uint64
 		leaderSeenAt time.Time
+		// proxy is the member ID of a control daemon that said at proxySeenAt that it reaches the
+		// leader. Requests go through it while the leader does not reply to this daemon.
+		proxy       string
+		proxySeenAt time.Time
 		// pending holds, by request ID, the channel that receives the response.
 		pending map[uint64]chan pimrpc.Response
 		lastID  uint64
@@ -55,6 +59,12 @@
 		// Total is the timeout of the whole call.
 		Total time.Duration
 	}
+
+	// route is where a request is sent: to the leader, or to a control daemon that passes it on.
+	route struct {
+		id       string
+		indirect bool
+	}
 )
 
 const (
@@ -68,6 +78,9 @@
 	searchInterval = 200 * time.Millisecond
 	// leaderTimeout is how long a leader counts as reachable after its last reply.
 	leaderTimeout = 1300 * time.Millisecond
+	// proxyDelay is longer than another daemon can take to notice that the leader does not reply: leaderTimeout and a
+	// query interval.
+	proxyDelay = leaderTimeout + leaderQueryInterval + 200*time.Millisecond
 	// responseTimeout is the time after which a request without a response is sent again. A commit
 	// takes two disk syncs and two trips through the network, some 30 ms.
 	responseTimeout = 600 * time.Millisecond
@@ -81,6 +94,7 @@
 	return &Forwarder{
 		sender: sender, self: self, logger: logger, seeds: seeds,
 		pending: map[uint64]chan pimrpc.Response{}, changed: make(chan struct{}),
+		leaderSeenAt: time.Now(),
 		// A late response to a request from before a restart of the daemon must not match a new request.
 		lastID: rand.Uint64(),
 	}
@@ -127,9 +141,7 @@
 			Msg("leader of the job group does not respond")
 		f.leader = ""
 	}
-	for _, address := range f.addresses() {
-		f.sender.Send(address, "", pimmessage.LeaderQuery{})
-	}
+	f.queryAll()
 	return searchInterval
 }
 
@@ -171,6 +183,12 @@
 	if len(reply.Members) > 0 {
 		f.members = reply.Members
 	}
+	if reply.ReachesLeader && reply.Sender != f.self {
+		f.proxy, f.proxySeenAt = reply.Sender, time.Now()
+		if f.leader == "" {
+			f.signalChange()
+		}
+	}
 	switch {
 	case reply.ConfirmedLeader:
 		if f.leader != reply.Leader {
@@ -190,13 +208,32 @@
 	f.changed = make(chan struct{})
 }
 
-// HasLeader reports whether the leader replied within leaderTimeout.
+// HasLeader reports whether requests can reach the leader: it replied within leaderTimeout, or a control daemon did that
+// reaches it.
 func (f *Forwarder) HasLeader() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return f.reachesLeader() || f.hasProxy()
+}
+
+// ReachesLeader reports whether the leader replied to this daemon within leaderTimeout.
+func (f *Forwarder) ReachesLeader() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.reachesLeader()
+}
+
+func (f *Forwarder) reachesLeader() bool {
 	return f.leader != "" && time.Since(f.leaderSeenAt) < leaderTimeout
 }
 
+// hasProxy reports whether requests may be sent through the proxy. The proxy must have reached the leader after
+// proxyDelay without a reply of the leader here: after the end of a leader, the others believe for a while that they reach
+// it.
+func (f *Forwarder) hasProxy() bool {
+	return f.proxy != "" && time.Since(f.proxySeenAt) < leaderTimeout && f.proxySeenAt.Sub(f.leaderSeenAt) > proxyDelay
+}
+
 // OnReply delivers a response to the call that waits for it. Late and duplicate responses are dropped.
 func (f *Forwarder) OnReply(reply pimmessage.CallReply) {
 	response, err := pimrpc.DecodeResponse(reply.Body)
@@ -224,6 +261,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.call(ctx, body, timeouts, true)
+}
+
+// PassOn sends an encoded request of another daemon to the leader, and only there, so that a request is passed on once at
+// most. It fails as Call does.
+func (f *Forwarder) PassOn(ctx context.Context, body []byte, timeouts CallTimeouts) (pimrpc.Response, error) {
+	return f.call(ctx, body, timeouts, false)
+}
+
+func (f *Forwarder) call(
+	ctx context.Context, body []byte, timeouts CallTimeouts, mayUseProxy bool,
+) (pimrpc.Response, error) {
 	startedAt := time.Now()
 	mayHaveExecuted := false
 	for {
@@ -231,23 +280,23 @@
 		if !mayHaveExecuted {
 			timeout = min(timeout, timeouts.LeaderWait-time.Since(startedAt))
 		}
-		leader, ok := f.awaitLeader(ctx, timeout)
+		target, ok := f.awaitLeader(ctx, timeout, mayUseProxy)
 		if !ok || ctx.Err() != nil {
 			return nil, callError(mayHaveExecuted, time.Since(startedAt))
 		}
-		response, responded := f.callOnce(ctx, leader, body, min(responseTimeout, timeouts.Total-time.Since(startedAt)))
+		response, responded := f.callOnce(ctx, target, body, min(responseTimeout, timeouts.Total-time.Since(startedAt)))
 		switch response := response.(type) {
 		case pimrpc.NotLeader:
-			f.dropLeader(leader, response.Leader)
+			f.dropLeader(target, response.Leader)
 		case pimrpc.OutcomeUnknown:
 			mayHaveExecuted = true
-			f.dropLeader(leader, "")
+			f.dropLeader(target, "")
 		default:
 			if responded {
 				return response, nil
 			}
 			mayHaveExecuted = true
-			f.suspectLeader(leader)
+			f.suspectLeader(target)
 		}
 		if responded && !sleep(ctx, retryDelay) {
 			return nil, callError(mayHaveExecuted, time.Since(startedAt))
@@ -273,23 +322,26 @@
 	}
 }
 
-// awaitLeader returns the leader once one is known. It returns false on a timeout or if the context
-// ended.
-func (f *Forwarder) awaitLeader(ctx context.Context, timeout time.Duration) (string, bool) {
+// awaitLeader returns where to send a request once that is known: to the leader, or else to a control daemon that reaches
+// it. It returns false on a timeout or if the context ended.
+func (f *Forwarder) awaitLeader(ctx context.Context, timeout time.Duration, mayUseProxy bool) (route, bool) {
 	timer := time.NewTimer(max(0, timeout))
 	defer timer.Stop()
 	for {
 		f.mutex.Lock()
-		leader, changed := f.leader, f.changed
+		target, changed := route{id: f.leader}, f.changed
+		if target.id == "" && mayUseProxy && f.hasProxy() {
+			target = route{f.proxy, true}
+		}
 		f.mutex.Unlock()
-		if leader != "" {
-			return leader, timeout > 0
+		if target.id != "" {
+			return target, timeout > 0
 		}
 		select {
 		case <-ctx.Done():
-			return "", false
+			return route{}, false
 		case <-timer.C:
-			return "", false
+			return route{}, false
 		case <-changed:
 		}
 	}
@@ -297,7 +349,7 @@
 
 // callOnce sends a request and waits for its response. It returns false without a response.
 func (f *Forwarder) callOnce(
-	ctx context.Context, leader string, body []byte, timeout time.Duration,
+	ctx context.Context, target route, body []byte, timeout time.Duration,
 ) (pimrpc.Response, bool) {
 	responses := make(chan pimrpc.Response, 1)
 	f.mutex.Lock()
@@ -310,7 +362,8 @@
 		delete(f.pending, id)
 		f.mutex.Unlock()
 	}()
-	f.sender.Send(AddressOf(leader), leader, pimmessage.CallRequest{ID: id, Group: GroupName, Body: body})
+	f.sender.Send(AddressOf(target.id), target.id,
+		pimmessage.CallRequest{ID: id, Group: GroupName, Body: body, Indirect: target.indirect})
 	timer := time.NewTimer(max(0, timeout))
 	defer timer.Stop()
 	select {
@@ -322,31 +375,41 @@
 	return nil, false
 }
 
-// dropLeader forgets a leader that responded that it doesn't lead, and queries the one that it named,
-// or all known daemons if it named none.
-func (f *Forwarder) dropLeader(leader, next string) {
+// dropLeader forgets a leader that responded that it doesn't lead, or a control daemon that no longer reaches the leader.
+// It queries the leader that was named, or all known daemons if none was.
+func (f *Forwarder) dropLeader(target route, next string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.leader == leader {
-		f.leader = ""
-	}
-	if next != "" && next != leader {
+	f.forget(target)
+	if next != "" && next != target.id {
 		f.sender.Send(AddressOf(next), next, pimmessage.LeaderQuery{})
 		return
 	}
-	for _, address := range f.addresses() {
-		f.sender.Send(address, "", pimmessage.LeaderQuery{})
-	}
+	f.queryAll()
 }
 
-// suspectLeader queries all known daemons for the leader after a request to it got no response. The
-// leader is forgotten if it has not replied to a query recently either.
-func (f *Forwarder) suspectLeader(leader string) {
+// suspectLeader queries all known daemons for the leader after a request got no response. The leader is forgotten if it
+// has not replied to a query recently either.
+func (f *Forwarder) suspectLeader(target route) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.leader == leader && time.Since(f.leaderSeenAt) > responseTimeout {
+	if target.indirect || time.Since(f.leaderSeenAt) > responseTimeout {
+		f.forget(target)
+	}
+	f.queryAll()
+}
+
+// forget drops the leader or the proxy that a request was sent to.
+func (f *Forwarder) forget(target route) {
+	switch {
+	case target.indirect && f.proxy == target.id:
+		f.proxy = ""
+	case !target.indirect && f.leader == target.id:
 		f.leader = ""
 	}
+}
+
+func (f *Forwarder) queryAll() {
 	for _, address := range f.addresses() {
 		f.sender.Send(address, "", pimmessage.LeaderQuery{})
 	}
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -54,11 +54,13 @@
 		Draining       bool                  `msgpack:"d,omitempty"`
 	}
 
-	// CallRequest carries a Call to the leader of Group. ID is unique per sender.
+	// CallRequest carries a Call to the leader of Group. ID is unique per sender. Indirect is set if
+	// the sender can't reach the leader: a receiver that isn't the leader passes the call on to it.
 	CallRequest struct {
-		ID    uint64 `msgpack:"i"`
-		Group string `msgpack:"g"`
-		Body  []byte `msgpack:"b"`
+		ID       uint64 `msgpack:"i"`
+		Group    string `msgpack:"g"`
+		Body     []byte `msgpack:"b"`
+		Indirect bool   `msgpack:"d,omitempty"`
 	}
 
 	// CallReply answers the CallRequest with the same ID. Body is a Reply, or empty if Code
@@ -78,12 +80,15 @@
 
 	// LeaderReply answers a LeaderQuery. Leader is the leader as far as the sender knows;
 	// ConfirmedLeader is set if the sender is the leader and holds its lease. Members are the
-	// replicas of the job group, voters first.
+	// replicas of the job group, voters first. ReachesLeader is set if the leader has recently
+	// replied to Sender, so that it can pass on calls.
 	LeaderReply struct {
 		Leader          string   `msgpack:"l"`
 		Term            uint64   `msgpack:"t"`
 		Members         []string `msgpack:"m"`
 		ConfirmedLeader bool     `msgpack:"g,omitempty"`
+		Sender          string   `msgpack:"s,omitempty"`
+		ReachesLeader   bool     `msgpack:"r,omitempty"`
 	}
 
 	// CreditLedgerQuery is sent by a new leader of a domain group, to rebuild its credit
