Learn the durations of tasks

The planner takes callers' estimates to be off by a third at most; on some deployments they are off by a factor of 1.5 to 1.9. pimduration learns the distribution of duration divided by estimate for each queue and open step and answers with quantiles of the remaining time. Nothing uses it yet.

--- a/internal/job/pimjob/learned.go
+++ b/internal/job/pimjob/learned.go
@@ -9,6 +9,16 @@
 		// Serving has an element for each serving image.
 		Serving []LearnedInterference `msgpack:"s"`
 		Cycle   LearnedCycle          `msgpack:"c"`
+		// Durations has an element for each queue with tasks that ended.
+		Durations []LearnedDurations `msgpack:"d,omitempty"`
+	}
+
+	// LearnedDurations is the distribution of the durations of a queue's tasks divided by their estimates: the weights
+	// of logarithmic buckets, from the bucket First on (see pimduration).
+	LearnedDurations struct {
+		Queue   string    `msgpack:"q"`
+		First   int       `msgpack:"f"`
+		Weights []float32 `msgpack:"w"`
 	}
 
 	// LearnedInterference is the headroom that a serving image loses for each core of a best-effort image, and the
