Decide on the planner's stops by learned durations

On a deployment whose estimates are off by up to 1.9 the planner moved healthy best-effort runs, since it took progress times estimate for their speed. Where the learned error of a queue's estimates exceeds a third, the speed of a run is now judged by its own best pace, by the paces of other runs of its step and by the learned distribution; stall thresholds and deadlines use it too. All stops pass pimstop.Budget, which refuses those that gain too little, repeat one within the expected duration or exceed the limit of discarded work. What was learned is part of the summary for the next leader. Accurate queues are served as before.

--- a/internal/job/pimplan/deadlines.go
+++ b/internal/job/pimplan/deadlines.go
@@ -42,10 +42,40 @@
 	longRunning := slices.ContainsFunc(steps, func(step pimjob.Step) bool { return step.LongRunning })
 	total := longestChain(steps, func(int) bool { return true })
 	remaining := longestChain(steps, func(i int) bool { return job.Occurrences[occurrence].Steps[i].OpenTasks > 0 })
+	d := deadlines{remaining: remaining, longRunning: longRunning}
+	d.setObjective(job, begin, total)
+	return d
+}
+
+// setObjective sets the times until which an occurrence earns credit from its longest chain of work in milliseconds.
+func (d *deadlines) setObjective(job *pimjob.Job, begin, total int64) {
 	objective := int64(float64(total)*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
-	return deadlines{
-		due: begin + objective, latest: begin + lateFactor*objective,
-		remaining: remaining, longRunning: longRunning,
+	d.due, d.latest = begin+objective, begin+lateFactor*objective
+}
+
+// correctDeadlines replaces the estimates of a job by learned durations if those of its queue are known to be wrong. The
+// objective is replaced only where the work differs from the estimates by more than their usual error, since the
+// platform computes it from the true work.
+func (p *Planner) correctDeadlines(waiting *waitingJob) {
+	job := waiting.job
+	if !p.estimatesAreWrong(job) {
+		return
+	}
+	steps := slices.Clone(job.Submission.Steps)
+	for i := range steps {
+		steps[i].Estimate = p.medianDuration(job, i)
+	}
+	estimated := longestChain(job.Submission.Steps, func(int) bool { return true })
+	learned := longestChain(steps, func(int) bool { return true })
+	for i := range waiting.candidates {
+		c := &waiting.candidates[i]
+		occurrence := c.key.occurrence
+		c.deadlines.remaining = longestChain(steps, func(i int) bool {
+			return job.Occurrences[occurrence].Steps[i].OpenTasks > 0
+		})
+		if factor := float64(max(learned, 1)) / float64(max(estimated, 1)); max(factor, 1/factor) > 1+usualError {
+			c.deadlines.setObjective(job, max(job.AcceptedAt, job.Submission.DueAt(occurrence)), learned)
+		}
 	}
 }
 
--- a/internal/job/pimplan/learned.go
+++ b/internal/job/pimplan/learned.go
@@ -15,10 +15,12 @@
 	maxInheritedWeight = 400.0
 )
 
-// Learned returns what the planner has learned about images.
+// Learned returns what the planner has learned about images and the durations of tasks.
 func (p *Planner) Learned() pimjob.Learned {
 	model := p.interference
-	learned := pimjob.Learned{Images: make([]string, len(model.imageIndexes)), Cycle: model.cycles.learned()}
+	learned := pimjob.Learned{
+		Images: make([]string, len(model.imageIndexes)), Cycle: model.cycles.learned(), Durations: p.durations.Summary(),
+	}
 	for image, index := range model.imageIndexes {
 		learned.Images[index] = image
 	}
@@ -47,6 +49,7 @@
 		p.interference.regressions[serving.Image] = fit
 	}
 	p.interference.cycles.inherit(learned.Cycle)
+	p.durations.Restore(learned.Durations)
 }
 
 // learned returns the coefficients of the first images with the weight of their samples.
--- a/internal/job/pimplan/migrate.go
+++ b/internal/job/pimplan/migrate.go
@@ -6,6 +6,7 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
 
 const (
@@ -13,7 +14,8 @@
 	// speed changes and the time until they show in reports.
 	speedWindow = 2 * time.Second
 	// migrationSpeed is the speed below which a best-effort run may be moved, where 1 is the speed
-	// that its estimate implies. Estimates are off by a third at most.
+	// that its estimate implies. Estimates that are not known to be wrong are off by a third at most. For others, 1 is
+	// the speed at which the run needs the longest duration that it plausibly has.
 	migrationSpeed = 0.35
 	// minSpeed keeps the remaining time of a run finite.
 	minSpeed = 0.02
@@ -24,10 +26,10 @@
 
 // migrateSlowRuns stops best-effort runs on a host that are throttled or get too little processor
 // time and would finish sooner elsewhere. One slow run delays its whole step.
-func (p *Planner) migrateSlowRuns(h *host, runs []pimfleet.ObservedRun, plan *Plan) {
+func (p *Planner) migrateSlowRuns(now time.Duration, h *host, runs []pimfleet.ObservedRun, plan *Plan) {
 	starts := map[pimjob.TaskKey]progressSample{}
 	for _, run := range runs {
-		_, step, _ := p.state.Task(run.Status.Key)
+		_, step, job := p.state.Task(run.Status.Key)
 		if step == nil || !step.BestEffort || step.LongRunning || step.Gang || step.Estimate <= 0 || run.Stopping {
 			continue
 		}
@@ -36,15 +38,13 @@
 			start = progressSample{run.Status.ProgressPercent, run.ListedAt}
 		}
 		if elapsed := run.ListedAt - start.at; elapsed >= speedWindow {
-			speed := float64(run.Status.ProgressPercent-start.percent) / 100 * step.Estimate.Seconds() /
-				elapsed.Seconds()
-			if speed < migrationSpeed && finishesSoonerElsewhere(step, run.Status.ProgressPercent, speed) &&
+			longest := p.assumedDuration(job, run.Status.Key, h, longDuration)
+			speed := float64(run.Status.ProgressPercent-start.percent) / 100 * longest.Seconds() / elapsed.Seconds()
+			if speed < migrationSpeed && finishesSoonerElsewhere(step, longest, run.Status.ProgressPercent, speed) &&
 				p.hasRoomElsewhere(run.Status.Key, step, h) {
-				p.unsuitableWorkers[run.Status.Key] = append(p.unsuitableWorkers[run.Status.Key], h.worker.ID)
-				plan.Stops = append(plan.Stops, StopRun{
-					Worker: h.worker.ID, Key: run.Status.Key, Number: run.Status.Number,
-					Reason: "would finish sooner on another host",
-				})
+				left := 1 - float64(run.Status.ProgressPercent)/100
+				here := time.Duration(left / max(minSpeed, speed) * float64(longest))
+				p.stop(now, h, run, stopRequest{reason: pimstop.BetterHost, here: here, avoidHost: true}, plan)
 			}
 			start = progressSample{run.Status.ProgressPercent, run.ListedAt}
 		}
@@ -68,10 +68,10 @@
 }
 
 // finishesSoonerElsewhere compares the remaining time of a run at its present speed with that on
-// another host at full speed. A run without checkpoints starts over there.
-func finishesSoonerElsewhere(step *pimjob.Step, percent int, speed float64) bool {
-	remaining := (1 - float64(percent)/100) * step.Estimate.Seconds()
-	elsewhere := step.Estimate.Seconds()
+// another host at full speed, where it needs the given duration. A run without checkpoints starts over there.
+func finishesSoonerElsewhere(step *pimjob.Step, duration time.Duration, percent int, speed float64) bool {
+	remaining := (1 - float64(percent)/100) * duration.Seconds()
+	elsewhere := duration.Seconds()
 	if step.Checkpoints {
 		elsewhere = remaining
 	}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -13,8 +13,10 @@
 	"slices"
 	"time"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimduration"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
 
 type (
@@ -49,7 +51,10 @@
 		refusedStarts map[string]int
 		pausedUntil   map[string]time.Duration
 		// quotas holds, by organisation, what the current plan uses of its quota.
-		quotas map[string]*quotaUse
+		quotas    map[string]*quotaUse
+		durations *pimduration.Model
+		pace      paceTable
+		stops     *pimstop.Budget
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -59,14 +64,17 @@
 		Throttles []ThrottleRun
 		// NextDue is when the next occurrence is due, in milliseconds since 1970, or 0.
 		NextDue int64
+		// StopReport is what has become of earlier stops.
+		StopReport pimstop.Report
 	}
 
-	// StopRun asks to stop a run. Reason is for the log.
+	// StopRun asks to stop a run. Reason and Decision, what it was decided from, are for the log.
 	StopRun struct {
-		Worker string
-		Key    pimjob.TaskKey
-		Number int
-		Reason string
+		Worker   string
+		Key      pimjob.TaskKey
+		Number   int
+		Reason   string
+		Decision pimstop.Stop
 	}
 
 	// ThrottleRun asks to change the speed of a run, where 100 is full speed.
@@ -127,6 +135,7 @@
 		waitingJobs: map[string]*waitingJob{}, changedJobs: map[string]bool{}, liveRuns: map[string]int{},
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
+		durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
 	}
 	p.inherit(state.Learned())
 	for _, worker := range state.Workers() {
@@ -167,6 +176,7 @@
 func (p *Planner) onRunStarted(live pimjob.LiveRun) {
 	p.changedJobs[live.Key.Job] = true
 	p.liveRuns[live.Key.Job]++
+	p.beginPace(live)
 	if h := p.hosts[live.Run.Worker]; h != nil {
 		_, step, _ := p.state.Task(live.Key)
 		h.add(live.Key, step)
@@ -175,6 +185,7 @@
 
 func (p *Planner) onRunEnded(live pimjob.LiveRun, kind pimjob.EndKind, now time.Duration) {
 	p.changedJobs[live.Key.Job] = true
+	p.endPace(live, kind, now)
 	if p.liveRuns[live.Key.Job]--; p.liveRuns[live.Key.Job] <= 0 {
 		delete(p.liveRuns, live.Key.Job)
 	}
@@ -204,6 +215,7 @@
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
+	p.forgetDurations(job)
 	for key := range p.unsuitableWorkers {
 		if key.Job == job.Submission.ID {
 			delete(p.unsuitableWorkers, key)
@@ -231,6 +243,7 @@
 		placed.host.remove(placed.key, placed.step)
 	}
 	p.handleReports(now, &plan)
+	plan.StopReport = p.stops.TakeReport(now)
 	return plan
 }
 
@@ -254,6 +267,7 @@
 			continue
 		}
 		waiting := newWaitingJob(job, wallClock)
+		p.correctDeadlines(waiting)
 		if len(waiting.candidates) == 0 && waiting.nextDue == 0 {
 			delete(p.waitingJobs, id)
 			continue
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -5,11 +5,12 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
 
 type (
 	// progressState tracks how fast runs progress on a host. Speed 1 is the speed that a task's
-	// estimate implies.
+	// estimate implies, or the learned duration where estimates are known to be wrong.
 	progressState struct {
 		samples map[pimjob.TaskKey]progressSample
 		// windowStarts are the samples from which the speed of each best-effort run is measured
@@ -32,8 +33,8 @@
 	// estimate. At an eighth of full speed a run still gains a percent in 0.08 of its estimate.
 	minStallTime       = 1200 * time.Millisecond
 	stallEstimateShare = 0.3
-	// slowHostSpeed is the speed below which a host is slow. Estimates are off by a third at most,
-	// and on the target platform slow hosts work at a quarter of full speed or less.
+	// slowHostSpeed is the speed below which a host is slow. Estimates that are not known to be wrong are off by a
+	// third at most, and on the target platform slow hosts work at a quarter of full speed or less.
 	slowHostSpeed = 0.3
 	// speedSmoothing is the weight of a new sample in a host's speed, which is used from
 	// minSpeedSamples samples on.
@@ -52,25 +53,25 @@
 	stalled := false
 	for _, run := range runs {
 		key := run.Status.Key
-		_, step, _ := p.state.Task(key)
+		_, step, job := p.state.Task(key)
 		if step == nil || step.LongRunning || step.Estimate <= 0 || step.Gang || run.SpeedPercent == 0 || run.Stopping {
 			continue
 		}
 		sample, ok := state.samples[key]
 		if !ok || run.ListedAt-sample.at >= minReportGap {
 			if ok && !step.BestEffort && hasLocalData(step, h) && sample.percent > 0 {
-				state.addSpeed(float64(run.Status.ProgressPercent-sample.percent) / 100 * step.Estimate.Seconds() /
+				state.addSpeed(float64(run.Status.ProgressPercent-sample.percent) / 100 *
+					p.assumedDuration(job, key, h, 0.5).Seconds() /
 					(run.ListedAt - sample.at).Seconds())
 			}
 			sample = progressSample{run.Status.ProgressPercent, run.ListedAt}
 		}
 		samples[key] = sample
-		if run.ListedAt-run.ProgressedAt > max(minStallTime, time.Duration(stallEstimateShare*float64(step.Estimate))) {
+		if still := run.ListedAt - run.ProgressedAt; still > minStallTime &&
+			still > time.Duration(stallEstimateShare*float64(p.assumedDuration(job, key, h, longDuration))) {
 			// A best-effort task may get no processor time on a healthy host.
 			stalled = stalled || !step.BestEffort
-			plan.Stops = append(plan.Stops, StopRun{
-				Worker: h.worker.ID, Key: key, Number: run.Status.Number, Reason: "makes no progress",
-			})
+			p.stop(now, h, run, stopRequest{reason: pimstop.NoProgress, here: stalledRemaining}, plan)
 		}
 	}
 	state.samples = samples
@@ -105,14 +106,14 @@
 	speed := max(0.05, h.progress.speed)
 	h.progress.speedSamples = 0
 	for _, run := range runs {
-		_, step, _ := p.state.Task(run.Status.Key)
+		_, step, job := p.state.Task(run.Status.Key)
 		if step == nil || step.LongRunning || step.Gang || step.Estimate <= 0 || run.Stopping {
 			continue
 		}
-		if remaining := (1 - float64(run.Status.ProgressPercent)/100) / speed; remaining > minRemainingEstimates {
-			plan.Stops = append(plan.Stops, StopRun{
-				Worker: h.worker.ID, Key: run.Status.Key, Number: run.Status.Number, Reason: "host is slow",
-			})
+		left := 1 - float64(run.Status.ProgressPercent)/100
+		if left/speed > minRemainingEstimates {
+			here := time.Duration(left / speed * float64(p.assumedDuration(job, run.Status.Key, h, 0.5)))
+			p.stop(now, h, run, stopRequest{reason: pimstop.HostSlow, here: here}, plan)
 		}
 	}
 }
