Log and count what becomes of stops

Metrics count refused stops, stops that have paid off or not, and the work discarded. go test ./internal/job/pimcontrol -run TestReportOfStops and make check pass.

--- a/internal/base/pimmetric/metric.go
+++ b/internal/base/pimmetric/metric.go
@@ -70,6 +70,18 @@
 	m.scope.Tagged(map[string]string{"why": reason}).Counter("planner-stops").Inc(1)
 }
 
+// CountRefusedStop counts runs that the planner wanted to stop and may not, by the reason and by that of the refusal.
+func (m *Metrics) CountRefusedStop(reason, refusal string, count int64) {
+	m.scope.Tagged(map[string]string{"why": reason, "refusal": refusal}).Counter("planner-stops-refused").Inc(count)
+}
+
+// CountJudgedStops counts stops whose task has ended since, by whether they have paid off.
+func (m *Metrics) CountJudgedStops(outcome string, count int64) {
+	if count > 0 {
+		m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("planner-stops-judged").Inc(count)
+	}
+}
+
 // SetGauge sets a gauge.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -256,11 +256,10 @@
 		c.metrics.Add("starts", int64(len(plan.Starts)))
 	}
 	for _, stop := range plan.Stops {
-		c.logger.Info().Stringer("task", stop.Key).Int("run", stop.Number).Str("worker", stop.Worker).
-			Str("why", stop.Reason).Msg("planner stops a run")
-		c.metrics.CountStop(stop.Reason)
+		c.reportStop(stop)
 		l.fleet.Stop(stop.Worker, stop.Key, stop.Number, c.now)
 	}
+	c.reportStops(plan.StopReport)
 	for _, throttle := range plan.Throttles {
 		l.fleet.Throttle(throttle.Worker, throttle.Key, throttle.Number, throttle.SpeedPercent, c.now)
 	}
--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimplan"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
 
 // logChanges reports the state changes of a committed entry in the daemon's own log and metrics.
@@ -59,3 +63,31 @@
 	case pimjob.WorkerChanged, pimjob.ConfigChanged:
 	}
 }
+
+// logStop adds what a stop was decided from.
+func logStop(entry *log.Entry, stop pimstop.Stop) *log.Entry {
+	return entry.Int64("here-ms", stop.Here.Milliseconds()).Int64("there-ms", stop.There.Milliseconds()).
+		Int64("expected-ms", stop.Expected.Milliseconds()).Int64("discarded-core-ms", int64(stop.Discarded*1000)).
+		Bool("estimate-accurate", stop.EstimateAccurate)
+}
+
+func (c *Control) reportStop(stop pimplan.StopRun) {
+	entry := c.logger.Info().Stringer("task", stop.Key).Int("run", stop.Number).Str("worker", stop.Worker).Str("why", stop.Reason)
+	logStop(entry, stop.Decision).Msg("planner stops a run")
+	c.metrics.CountStop(stop.Reason)
+}
+
+// reportStops logs refused stops and counts what earlier stops have brought.
+func (c *Control) reportStops(report pimstop.Report) {
+	for _, refused := range report.Refused {
+		entry := c.logger.Info().Stringer("task", refused.Stop.Key).Int("run", refused.Stop.Number).
+			Str("why", string(refused.Stop.Reason)).Str("refusal", string(refused.Refusal)).Int("count", refused.Count)
+		logStop(entry, refused.Stop).Msg("planner may not stop runs")
+		c.metrics.CountRefusedStop(string(refused.Stop.Reason), string(refused.Refusal), int64(refused.Count))
+	}
+	c.metrics.CountJudgedStops("paid-off", int64(report.PaidOff))
+	c.metrics.CountJudgedStops("not-paid-off", int64(report.NotPaidOff))
+	if report.Discarded > 0 {
+		c.metrics.Add("planner-discarded-core-millis", int64(report.Discarded*1000))
+	}
+}
