--- a/internal/job/pimduration/model.go
+++ b/internal/job/pimduration/model.go
@@ -116,9 +116,11 @@
 	if !queue.hasTime || sample.At > queue.observedAt {
 		queue.observedAt, queue.hasTime = sample.At, true
 	}
-	queue.ratios.add(ratio, 1)
+	step := m.steps.getOrAdd(sample.Task.stepKey(), func() *histogram { return &histogram{} })
+	// The tasks of a step share the error of its estimate, so that a wide step tells little more than a narrow one.
+	queue.ratios.add(ratio, 1/(1+step.total()))
 	queue.errorKnown = false
-	m.steps.getOrAdd(sample.Task.stepKey(), func() *histogram { return &histogram{} }).add(ratio, 1)
+	step.add(ratio, 1)
 }
 
 // Forget removes the samples of a step, for a job that has ended. Those of its queue remain.
