Let tasks wait for a preferred placement where that pays off

With bounds.remote-factor above 1 in the settings, the planner lets tasks with a preferred label and same-rack gangs wait for room that is expected soon, and keeps tasks that start elsewhere off racks in demand. Ended waits are part of the plan; the leader counts them by queue and logs ten a second at most. Without the factor, or without preferences, plans stay as they were.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -23,6 +23,7 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimplan"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
@@ -42,6 +43,7 @@
 		// ToleratedFailures is how many voters may fail at the same time.
 		ToleratedFailures int
 		Fleet             pimfleet.Policy
+		Plan              pimplan.Settings
 		// OpenFile opens segments of the log; nil means pimlog.OpenSegment.
 		OpenFile pimlog.OpenFile
 	}
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -34,6 +34,7 @@
 		nextMembersAt time.Duration
 		// nextLearnedAt is when what the planner has learned is next proposed.
 		nextLearnedAt time.Duration
+		waitLines     waitLines
 
 		reads         []pendingRead
 		nextConfirmAt time.Duration
@@ -149,6 +150,7 @@
 		l.ready = true
 		l.fleet = pimfleet.NewFleet(c.settings.Fleet, l.term, c.state, c.now)
 		l.planner = pimplan.NewPlanner(c.state, l.fleet)
+		l.planner.Configure(c.settings.Plan)
 		l.nextLearnedAt = c.now + learnedInterval
 		l.dirty = true
 		c.updateForwarder()
@@ -264,6 +266,7 @@
 	for _, throttle := range plan.Throttles {
 		l.fleet.Throttle(throttle.Worker, throttle.Key, throttle.Number, throttle.SpeedPercent, c.now)
 	}
+	c.reportWaits(plan.Waits)
 	c.applyFleetOutput(ctx)
 }
 
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -21,8 +21,11 @@
 		// A schedulable host may get new runs. While it is backing off, it gets only those of
 		// long-running steps and starved jobs.
 		schedulable, backingOff bool
-		throttling              throttleState
-		progress                progressState
+		// contention is the share of the free processor time near the host that tasks with a preferred label are about to
+		// use.
+		contention float64
+		throttling throttleState
+		progress   progressState
 	}
 
 	// placement is a task that the current plan assigns to a host.
@@ -36,6 +39,7 @@
 // putHost adds or updates a worker. A new generation replaces the host and all that was learned
 // about it.
 func (p *Planner) putHost(worker pimjob.Worker) {
+	p.topology = nil
 	known := p.hosts[worker.ID]
 	if known != nil && known.worker.Generation == worker.Generation {
 		known.worker = worker
@@ -55,6 +59,7 @@
 }
 
 func (p *Planner) removeHost(id string) {
+	p.topology = nil
 	delete(p.hosts, id)
 	p.sortHosts()
 }
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -103,6 +103,9 @@
 	if step.Gang {
 		return p.placeGang(c, step, placements, plan)
 	}
+	if p.waits.appliesTo(step) && !c.starved {
+		return p.placeNear(c, step, unplaced, placements, plan)
+	}
 	ranked := p.rankHosts(c, step, "")
 	// A step that has reached MaxPerWorker everywhere tells nothing about others of its class.
 	if ranked.Len() == 0 && step.MaxPerWorker == 0 && !c.starved {
@@ -121,6 +124,7 @@
 			return placements
 		}
 		quota.add(step.Need, 1)
+		p.onPlaced(c, step, key, step.PreferredLabel != "" && h.worker.HasLabel(step.PreferredLabel), plan)
 		if c.starved {
 			// One run ends the starvation; the other tasks wait for a better host.
 			c.starved = false
@@ -147,7 +151,7 @@
 	}
 	racks := []string{""}
 	if step.SameRack {
-		racks = append(p.racks(), "")
+		racks = append(slices.Clone(p.hostTopology().racks), "")
 	}
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	// All members get the same run number, by which their failures are counted once.
@@ -169,7 +173,13 @@
 			}
 			continue
 		}
+		if p.gangWaits(c, step, chosen, plan) {
+			return placements
+		}
 		quota.add(step.Need, len(chosen))
+		for _, member := range chosen {
+			p.onPlaced(c, step, member.key, isGangNear(step, chosen), plan)
+		}
 		for _, member := range chosen {
 			plan.Starts = append(plan.Starts, pimjob.Start{
 				Key: member.key, Number: number, Worker: member.host.worker.ID,
@@ -181,22 +191,21 @@
 	return placements
 }
 
-// racks returns the hosts' racks, sorted and without duplicates.
-func (p *Planner) racks() []string {
-	var racks []string
-	for _, h := range p.sortedHosts {
-		racks = append(racks, h.worker.Rack)
-	}
-	slices.Sort(racks)
-	return slices.Compact(racks)
-}
-
 // rankHosts returns the hosts that can take a task of the step. A rack other than "" limits them to
 // that rack.
 func (p *Planner) rankHosts(c candidate, step *pimjob.Step, rack string) *hostHeap {
+	hosts := p.sortedHosts
+	if rack != "" {
+		hosts = p.hostTopology().byRack[rack]
+	}
+	return p.rank(c, step, hosts, nil)
+}
+
+// rank returns those of the hosts that can take a task of the step and that the filter, if there is one, includes.
+func (p *Planner) rank(c candidate, step *pimjob.Step, hosts []*host, includes func(h *host) bool) *hostHeap {
 	ranked := &hostHeap{}
-	for _, h := range p.sortedHosts {
-		if !p.mayRunOn(c.job, step, h) || (rack != "" && h.worker.Rack != rack) {
+	for _, h := range hosts {
+		if !p.mayRunOn(c.job, step, h) || (includes != nil && !includes(h)) {
 			continue
 		}
 		if score, ok := p.score(c, step, h); ok {
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -50,6 +50,9 @@
 		pausedUntil   map[string]time.Duration
 		// quotas holds, by organisation, what the current plan uses of its quota.
 		quotas map[string]*quotaUse
+		// topology is nil if a host has changed since it was built.
+		topology *topology
+		waits    waits
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -57,6 +60,8 @@
 		Starts    []pimjob.Start
 		Stops     []StopRun
 		Throttles []ThrottleRun
+		// Waits lists the tasks that no longer wait for a preferred host.
+		Waits []EndedWait
 		// NextDue is when the next occurrence is due, in milliseconds since 1970, or 0.
 		NextDue int64
 	}
@@ -126,7 +131,7 @@
 		state: state, workers: workers, hosts: map[string]*host{},
 		waitingJobs: map[string]*waitingJob{}, changedJobs: map[string]bool{}, liveRuns: map[string]int{},
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
-		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
+		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{}, waits: newWaits(),
 	}
 	p.inherit(state.Learned())
 	for _, worker := range state.Workers() {
@@ -204,6 +209,7 @@
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
+	p.waits.forgetJob(job)
 	for key := range p.unsuitableWorkers {
 		if key.Job == job.Submission.ID {
 			delete(p.unsuitableWorkers, key)
@@ -223,7 +229,9 @@
 	}
 	var placements []placement
 	unplaced := unplaceable{}
-	for _, c := range p.candidates(now, wallClock, &plan) {
+	candidates := p.candidates(now, wallClock, &plan)
+	p.waits.begin(p, candidates, now, wallClock)
+	for _, c := range candidates {
 		placements = p.place(c, unplaced, placements, &plan)
 	}
 	// Runs count as placed only once their starts are committed.
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -29,6 +29,10 @@
 		unusable map[string]bool
 		// speeds are the speeds of the workers' runs, 1 for a worker without an entry.
 		speeds map[string]float64
+		// remoteFactor is how many times as long runs take away from their data or their group, if it is above 1.
+		remoteFactor float64
+		// durationFactor returns the duration of a task divided by its estimate; nil means 1.
+		durationFactor func(key pimjob.TaskKey) float64
 		// remainingWork is the work in core-seconds that stopped runs with checkpoints had left.
 		remainingWork map[pimjob.TaskKey]float64
 		// interference is the headroom that a serving image loses for each core of a best-effort
@@ -67,6 +71,10 @@
 )
 
 func newSimulation(t *testing.T, workers int) *simulation {
+	return newSimulationWithRacks(t, workers, 4)
+}
+
+func newSimulationWithRacks(t *testing.T, workers, perRack int) *simulation {
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), state: pimjob.NewState(), now: time.Minute,
 		runs:         map[pimjob.TaskKey]*simulatedRun{},
@@ -76,7 +84,7 @@
 	for i := range workers {
 		sim.state.Apply(epochMillis, []pimjob.Op{pimjob.PutWorker{Worker: pimjob.Worker{
 			ID: fmt.Sprintf("w%02d", i), Generation: 1, Service: "svc", Domain: "east",
-			Rack: fmt.Sprintf("rack-%d", i/4), Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)},
+			Rack: fmt.Sprintf("rack-%d", i/perRack), Labels: []string{"a", fmt.Sprintf("rack-%d", i/perRack)},
 			Capacity: pimjob.Resources{Millicores: hostCores * 1000, MemoryMB: 128_000},
 		}}})
 	}
@@ -137,6 +145,9 @@
 			remaining, ok := sim.remainingWork[change.Live.Key]
 			if !ok {
 				remaining = step.Estimate.Seconds() * float64(step.Need.Millicores) / 1000
+				if sim.durationFactor != nil {
+					remaining *= sim.durationFactor(change.Live.Key)
+				}
 			}
 			sim.runs[change.Live.Key] = &simulatedRun{
 				live: change.Live, speedPercent: 100, remainingWork: remaining,
@@ -264,10 +275,27 @@
 }
 
 func (sim *simulation) speedOf(run *simulatedRun) float64 {
-	if speed, ok := sim.speeds[run.live.Run.Worker]; ok {
-		return speed
+	speed, ok := sim.speeds[run.live.Run.Worker]
+	if !ok {
+		speed = 1
 	}
-	return 1
+	if sim.remoteFactor > 1 && sim.isRemote(run) {
+		speed /= sim.remoteFactor
+	}
+	return speed
+}
+
+// isRemote reports whether a run is away from its data, or its gang is not on one rack.
+func (sim *simulation) isRemote(run *simulatedRun) bool {
+	_, step, job := sim.state.Task(run.live.Key)
+	worker := sim.state.Worker(run.live.Run.Worker)
+	if !step.SameRack {
+		return !worker.HasLabel(step.PreferredLabel)
+	}
+	tasks := job.Occurrences[run.live.Key.Occurrence].Steps[run.live.Key.Step].Tasks
+	return slices.ContainsFunc(tasks, func(task pimjob.Task) bool {
+		return task.Run != nil && sim.state.Worker(task.Run.Worker).Rack != worker.Rack
+	})
 }
 
 func (sim *simulation) updateTail(run *simulatedRun, step *pimjob.Step, usedCores map[string]float64) {
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -55,8 +55,12 @@
 		}
 		score -= backoffPenalty
 	}
-	if step.PreferredLabel != "" && h.worker.HasLabel(step.PreferredLabel) {
+	switch {
+	case step.PreferredLabel == "":
+	case h.worker.HasLabel(step.PreferredLabel):
 		score += preferredLabelBonus
+	default:
+		score -= contentionPenalty * h.contention
 	}
 	capacity := float64(max(1, h.worker.Capacity.Millicores))
 	requested := float64(step.Need.Millicores)
