Check the capacity of hosts in the simulation of delay scheduling

A plan ranks near and other hosts separately, so a stale entry of one ranking could put more on a host than it has room for.

Measured: go test ./internal/job/pimplan passes.

--- a/internal/job/pimplan/delay_test.go
+++ b/internal/job/pimplan/delay_test.go
@@ -73,6 +73,14 @@
 	}
 	plan := r.plan()
 	r.waits = append(r.waits, plan.Waits...)
+	used := map[string]int64{}
+	for key, run := range r.runs {
+		_, step, _ := r.state.Task(key)
+		used[run.live.Run.Worker] += step.Need.Millicores
+	}
+	for id, millicores := range used {
+		assert.Assert(r.t, millicores <= r.state.Worker(id).Capacity.Millicores, "host %s runs more than its capacity", id)
+	}
 	r.now += tickInterval
 	return plan
 }
