Merge placement: wait for a place near the data where it pays

The forecast of durations is the submitted estimate where the estimates of a queue are accurate, else the learned distribution, as in the other decisions of the planner.

--- a/internal/job/pimplan/plan_bench_test.go
+++ b/internal/job/pimplan/plan_bench_test.go
@@ -17,15 +17,15 @@
 func (idleWorkers) ObservedRuns(string) []pimfleet.ObservedRun { return nil }
 func (idleWorkers) TakeUpdatedWorkers() []string               { return nil }
 
-// BenchmarkPlan measures a plan with two new short jobs of ten tasks each while the serving tasks leave a tenth of each
+// BenchmarkPlanByHosts measures a plan with two new short jobs of ten tasks each while the serving tasks leave a tenth of each
 // host free and 200 steps find no host, by the number of hosts.
-func BenchmarkPlan(b *testing.B) {
+func BenchmarkPlanByHosts(b *testing.B) {
 	for _, hosts := range []int{100, 300, 1000, 3000} {
-		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) { benchmarkPlan(b, hosts) })
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) { benchmarkPlanByHosts(b, hosts) })
 	}
 }
 
-func benchmarkPlan(b *testing.B, hosts int) {
+func benchmarkPlanByHosts(b *testing.B, hosts int) {
 	state := pimjob.NewState()
 	var ops []pimjob.Op
 	for i := range hosts {
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -55,6 +55,9 @@
 		durations *pimduration.Model
 		pace      paceTable
 		stops     *pimstop.Budget
+		// topology is nil if a host has changed since it was built.
+		topology *topology
+		waits    waits
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -62,6 +65,8 @@
 		Starts    []pimjob.Start
 		Stops     []StopRun
 		Throttles []ThrottleRun
+		// Waits lists the tasks that no longer wait for a preferred host.
+		Waits []EndedWait
 		// NextDue is when the next occurrence is due, in milliseconds since 1970, or 0.
 		NextDue int64
 		// StopReport is what has become of earlier stops.
@@ -137,6 +142,7 @@
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
 	}
+	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
 	for _, worker := range state.Workers() {
 		p.putHost(*worker)
@@ -216,6 +222,7 @@
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
 	p.forgetDurations(job)
+	p.waits.forgetJob(job)
 	for key := range p.unsuitableWorkers {
 		if key.Job == job.Submission.ID {
 			delete(p.unsuitableWorkers, key)
@@ -235,7 +242,9 @@
 	}
 	var placements []placement
 	unplaced := unplaceable{}
-	for _, c := range p.candidates(now, wallClock, &plan) {
+	candidates := p.candidates(now, wallClock, &plan)
+	p.waits.begin(p, candidates, now, wallClock)
+	for _, c := range candidates {
 		placements = p.place(c, unplaced, placements, &plan)
 	}
 	// Runs count as placed only once their starts are committed.
