Divide scarce capacity between organisations by weight

Cause: the planner ordered waiting steps by urgency and deadline alone, so that one organisation's burst took all capacity. Change: pimshare orders the steps of equal priority by dominant share divided by weight while capacity is short and the configuration holds organisations; public jobs are merged by deadline. Wide and narrow steps of an organisation each get at least a quarter of its grants. Hosts are reserved for starved tasks of many cores and gangs. A token bucket in the replicated state marks jobs over the rate of their organisation; they come after the others of their priority.

--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -43,6 +43,8 @@
 			return nil
 		}
 		s.tables.Config = op.Config
+		s.indexOrganisations()
+		s.dropRates()
 		return []Change{ConfigChanged{}}
 	case MarkDomain:
 		if op.OutOfService {
@@ -61,7 +63,10 @@
 	if s.tables.Jobs[op.Submission.ID] != nil {
 		return nil
 	}
-	job := &Job{Submission: op.Submission, Queue: op.Queue, Organisation: op.Organisation, AcceptedAt: s.tables.Now}
+	job := &Job{
+		Submission: op.Submission, Queue: op.Queue, Organisation: op.Organisation, AcceptedAt: s.tables.Now,
+		OverRate: s.exceedsRate(op.Organisation, op.RateWindow),
+	}
 	for range max(1, op.Submission.Repeat) {
 		occurrence := Occurrence{OpenSteps: len(op.Submission.Steps)}
 		for _, step := range op.Submission.Steps {
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -1,6 +1,8 @@
 package pimjob
 
 import (
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
@@ -17,6 +19,9 @@
 		Queue      Queue      `msgpack:"q"`
 		// Organisation is the name of the owner of the job, or "".
 		Organisation string `msgpack:"g,omitempty"`
+		// RateWindow is the window of the organisation's rate, or 0 if rates are off. The leader sets it, so that all
+		// replicas use the same one.
+		RateWindow time.Duration `msgpack:"w,omitempty"`
 	}
 
 	// Cancel ends a job. Its live runs are stopped afterwards.
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -10,16 +10,19 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimshare"
 )
 
 type (
-	// State is the whole replicated state. liveRuns, by worker, openJobs and usage, by organisation,
-	// are derived from tables.
+	// State is the whole replicated state. liveRuns, by worker, openJobs, usage, by organisation, and
+	// organisations, by name, are derived from tables.
 	State struct {
 		tables   tables
 		liveRuns map[string]map[TaskKey]LiveRun
 		openJobs map[string]*Job
 		usage    map[string]pimorganisation.Resources
+
+		organisations map[string]*pimorganisation.Organisation
 	}
 
 	// tables are the stored part of the state. OutOfService holds failure domains, EndedGenerations
@@ -32,6 +35,8 @@
 		EndedGenerations map[string]int64   `msgpack:"d"`
 		Jobs             map[string]*Job    `msgpack:"j"`
 		Learned          Learned            `msgpack:"l"`
+		// Rates holds the token bucket of each organisation that has submitted a job.
+		Rates map[string]pimshare.Bucket `msgpack:"r,omitempty"`
 		// NextCleanupAt is when ended jobs are next checked for removal.
 		NextCleanupAt int64 `msgpack:"f"`
 	}
@@ -152,6 +157,7 @@
 	s.liveRuns = map[string]map[TaskKey]LiveRun{}
 	s.openJobs = map[string]*Job{}
 	s.usage = map[string]pimorganisation.Resources{}
+	s.indexOrganisations()
 	for id, job := range s.tables.Jobs {
 		if !job.State.IsEnded() {
 			s.openJobs[id] = job
@@ -164,6 +170,14 @@
 	}
 }
 
+func (s *State) indexOrganisations() {
+	s.organisations = map[string]*pimorganisation.Organisation{}
+	for i := range s.tables.Config.Organisations {
+		organisation := &s.tables.Config.Organisations[i]
+		s.organisations[organisation.Name] = organisation
+	}
+}
+
 func (j *Job) forEachTask(visit func(key TaskKey, task *Task)) {
 	for occurrence := range j.Occurrences {
 		for step := range j.Occurrences[occurrence].Steps {
@@ -210,7 +224,12 @@
 	if job.Organisation == "" {
 		return nil
 	}
-	return pimorganisation.Find(s.tables.Config.Organisations, job.Organisation)
+	return s.organisations[job.Organisation]
+}
+
+// OrganisationNamed returns an organisation of the configuration in effect, or nil.
+func (s *State) OrganisationNamed(name string) *pimorganisation.Organisation {
+	return s.organisations[name]
 }
 
 // Config returns the configuration in effect; version 0 means that there is none.
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -172,7 +172,9 @@
 		Queue      Queue      `msgpack:"q"`
 		// Organisation is the name of the organisation whose key the caller gave, or "" for a queue that requires
 		// no key.
-		Organisation    string       `msgpack:"g,omitempty"`
+		Organisation string `msgpack:"g,omitempty"`
+		// OverRate means that the organisation had exceeded its rate when the job was accepted.
+		OverRate        bool         `msgpack:"r,omitempty"`
 		AcceptedAt      int64        `msgpack:"a"`
 		EndedAt         int64        `msgpack:"e,omitempty"`
 		State           JobState     `msgpack:"st"`
--- a/internal/job/pimplan/deadlines.go
+++ b/internal/job/pimplan/deadlines.go
@@ -42,13 +42,18 @@
 	longRunning := slices.ContainsFunc(steps, func(step pimjob.Step) bool { return step.LongRunning })
 	total := longestChain(steps, func(int) bool { return true })
 	remaining := longestChain(steps, func(i int) bool { return job.Occurrences[occurrence].Steps[i].OpenTasks > 0 })
-	objective := int64(float64(total)*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
+	objective := objectiveOf(total, &job.Queue)
 	return deadlines{
 		due: begin + objective, latest: begin + lateFactor*objective,
 		remaining: remaining, longRunning: longRunning,
 	}
 }
 
+// objectiveOf returns the time in milliseconds within which a job is to end whose longest chain of steps takes chain.
+func objectiveOf(chain int64, queue *pimjob.Queue) int64 {
+	return int64(float64(chain)*max(1, queue.Stretch)) + queue.Objective.Milliseconds()
+}
+
 // longestChain returns the estimate in milliseconds of the longest chain of steps that depend on each other, of which only
 // those that count are added up.
 func longestChain(steps []pimjob.Step, counts func(step int) bool) int64 {
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -21,8 +21,10 @@
 		// A schedulable host may get new runs. While it is backing off, it gets only those of
 		// long-running steps and starved jobs.
 		schedulable, backingOff bool
-		throttling              throttleState
-		progress                progressState
+		// A reserved host gets no further runs from the current plan, see reserve.
+		reserved   bool
+		throttling throttleState
+		progress   progressState
 	}
 
 	// placement is a task that the current plan assigns to a host.
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -54,9 +54,9 @@
 	return last
 }
 
-func equivalenceClassOf(c candidate, step *pimjob.Step) equivalenceClass {
+func equivalenceClassOf(queue *pimjob.Queue, step *pimjob.Step) equivalenceClass {
 	class := equivalenceClass{
-		service: c.job.Queue.Service, requiredLabel: step.RequiredLabel, bestEffort: step.BestEffort,
+		service: queue.Service, requiredLabel: step.RequiredLabel, bestEffort: step.BestEffort,
 	}
 	if step.BestEffort {
 		class.image = step.Image
@@ -70,7 +70,7 @@
 	if c.starved || step.LongRunning {
 		return false
 	}
-	for _, request := range u[equivalenceClassOf(c, step)] {
+	for _, request := range u[equivalenceClassOf(&c.job.Queue, step)] {
 		if step.Need.Fits(request) {
 			return true
 		}
@@ -106,7 +106,7 @@
 	ranked := p.rankHosts(c, step, "")
 	// A step that has reached MaxPerWorker everywhere tells nothing about others of its class.
 	if ranked.Len() == 0 && step.MaxPerWorker == 0 && !c.starved {
-		class := equivalenceClassOf(c, step)
+		class := equivalenceClassOf(&c.job.Queue, step)
 		unplaced[class] = append(unplaced[class], step.Need)
 		return placements
 	}
@@ -209,7 +209,7 @@
 
 // mayRunOn reports whether a host may get new runs and is of the kind that the step needs.
 func (p *Planner) mayRunOn(job *pimjob.Job, step *pimjob.Step, h *host) bool {
-	return h.schedulable && h.worker.Service == job.Queue.Service && h.worker.HasLabel(step.RequiredLabel)
+	return h.schedulable && !h.reserved && h.worker.Service == job.Queue.Service && h.worker.HasLabel(step.RequiredLabel)
 }
 
 // takeBestHost assigns a task to the best host and returns it, or nil. A host on which the task
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -50,6 +50,8 @@
 		pausedUntil   map[string]time.Duration
 		// quotas holds, by organisation, what the current plan uses of its quota.
 		quotas map[string]*quotaUse
+		// shares is how scarce capacity is divided between organisations.
+		shares shareState
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -126,7 +128,7 @@
 		state: state, workers: workers, hosts: map[string]*host{},
 		waitingJobs: map[string]*waitingJob{}, changedJobs: map[string]bool{}, liveRuns: map[string]int{},
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
-		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
+		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{}, shares: newShareState(),
 	}
 	p.inherit(state.Learned())
 	for _, worker := range state.Workers() {
@@ -200,7 +202,7 @@
 
 // forgetJob removes what was recorded about a job that has ended.
 func (p *Planner) forgetJob(job *pimjob.Job) {
-	delete(p.waitingJobs, job.Submission.ID)
+	p.setWaiting(job, nil)
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
@@ -223,8 +225,13 @@
 	}
 	var placements []placement
 	unplaced := unplaceable{}
-	for _, c := range p.candidates(now, wallClock, &plan) {
-		placements = p.place(c, unplaced, placements, &plan)
+	candidates := p.candidates(now, wallClock, &plan)
+	if len(p.state.Config().Organisations) > 0 {
+		placements = p.placeForOrganisations(candidates, unplaced, now, &plan)
+	} else {
+		for _, c := range candidates {
+			placements = p.place(c, unplaced, placements, &plan)
+		}
 	}
 	// Runs count as placed only once their starts are committed.
 	for _, placed := range placements {
@@ -249,19 +256,23 @@
 	for id := range p.changedJobs {
 		delete(p.changedJobs, id)
 		job := p.state.Job(id)
-		if job == nil || job.State.IsEnded() {
+		if job == nil {
 			delete(p.waitingJobs, id)
 			continue
 		}
+		if job.State.IsEnded() {
+			p.setWaiting(job, nil)
+			continue
+		}
 		waiting := newWaitingJob(job, wallClock)
 		if len(waiting.candidates) == 0 && waiting.nextDue == 0 {
-			delete(p.waitingJobs, id)
+			p.setWaiting(job, nil)
 			continue
 		}
 		if known := p.waitingJobs[id]; known != nil {
 			waiting.idleSince = known.idleSince
 		}
-		p.waitingJobs[id] = waiting
+		p.setWaiting(job, waiting)
 		switch {
 		case p.liveRuns[id] > 0 || len(waiting.candidates) == 0:
 			waiting.idleSince = 0
