Reject jobs that cannot end in time because of their own organisation

Cause: a job that its organisation's quota or waiting work makes hopeless waited until it was worth nothing. Change: the leader rejects such a job with 1407 organisation-queue-full (429) when it is submitted, once the leadership is confirmed, with one log line and one counter. Retry-After follows from the length of the queue. The window of the rates comes from bounds.quota-window-s and reaches the state with each submission. The leader sets a gauge of Jain's index every 2 s.

--- a/internal/base/pimcode/codes.go
+++ b/internal/base/pimcode/codes.go
@@ -70,6 +70,7 @@
 	JobUnknown           Code = 1404
 	JobInvalid           Code = 1405
 	KeyUnknown           Code = 1406
+	OrganisationFull     Code = 1407
 	NotLeader            Code = 1501
 	NoLeader             Code = 1502
 	LeadershipLost       Code = 1503
@@ -124,6 +125,7 @@
 	{JobUnknown, "job-unknown", 410, "No such job is known, or it ended long ago.", "Check the id."},
 	{JobInvalid, "job-invalid", 400, "The job's body or one of its steps can't be read or can't be executed.", "Correct the field that the text names."},
 	{KeyUnknown, "key-unknown", 401, "The queue requires a key, and the given one is none of the configuration in effect.", "Give a key of the organisation; ask the operator if it was withdrawn."},
+	{OrganisationFull, "organisation-queue-full", 429, "The job can't end in time because of the waiting jobs or the quota of its organisation.", "Retry after the time in Retry-After; submit fewer jobs, or ask the operator for a higher weight or quota."},
 	{NotLeader, "not-leader", 503, "This daemon does not lead the group.", "Nothing; daemons retry with the leader automatically."},
 	{NoLeader, "no-leader", 503, "The group has no reachable leader.", "Retry after the time in retry-after-millis."},
 	{LeadershipLost, "leadership-lost", 503, "The leader changed before the entry was committed.", "Repeat the call; a change with the same number and content is applied once."},
--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -42,6 +42,8 @@
 		// ToleratedFailures is how many voters may fail at the same time.
 		ToleratedFailures int
 		Fleet             pimfleet.Policy
+		// RateWindow is the window of the rates of organisations, or 0 if rates are off.
+		RateWindow time.Duration
 		// OpenFile opens segments of the log; nil means pimlog.OpenSegment.
 		OpenFile pimlog.OpenFile
 	}
--- a/internal/job/pimcontrol/control_test.go
+++ b/internal/job/pimcontrol/control_test.go
@@ -13,7 +13,9 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimmetric"
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcontrol"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
@@ -206,4 +208,35 @@
 		g.putConfig(others[1], 3)
 		g.assertConfig(leader, 3)
 	})
+	t.Run("a job that its quota can never run in time is rejected and one that it can is accepted", func(t *testing.T) {
+		g := newGroup(t)
+		g.leader()
+		config := pimjob.Config{
+			Version: 2, Text: []byte("version 2"),
+			Queues: []pimjob.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "svc", Attempts: 1, RequiresKey: true}},
+			Organisations: []pimorganisation.Organisation{
+				{Name: "a", Weight: 1, Quota: pimorganisation.Resources{CPUMillis: 1000}, Keys: []string{"key"}},
+			},
+		}
+		submit := func(id string, count int) pimrpc.Response {
+			step := pimjob.Step{Count: count, Need: pimjob.Resources{Millicores: 1000}, Estimate: time.Second}
+			response, err := g.members["a:1"].call(pimrpc.Submit{
+				Address:    pimrpc.Address{Host: "h", Path: "/q/" + id, Key: "key"},
+				Submission: pimjob.Submission{ID: id, Spec: "s", Steps: []pimjob.Step{step}},
+			}, testTimeout)
+			assert.NilError(t, err)
+			return response
+		}
+		_, err := g.members["a:1"].call(pimrpc.PutConfig{Config: config}, testTimeout)
+		assert.NilError(t, err)
+		rejected, ok := submit("job-too-large-00", 100).(pimrpc.Rejected)
+		assert.Assert(t, ok)
+		assert.Equal(t, rejected.Code, pimcode.OrganisationFull)
+		assert.Assert(t, rejected.RetryAfter >= time.Second)
+		assert.DeepEqual(t, submit("job-that-fits-00", 10), pimrpc.Response(pimrpc.Done{}))
+		state, err := g.members["b:1"].call(
+			pimrpc.Lookup{Address: pimrpc.Address{Host: "h", Path: "/q/job-too-large-00", Key: "key"}}, testTimeout)
+		assert.NilError(t, err)
+		assert.Equal(t, state.(pimrpc.Rejected).Code, pimcode.JobUnknown)
+	})
 }
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -34,6 +34,8 @@
 		nextMembersAt time.Duration
 		// nextLearnedAt is when what the planner has learned is next proposed.
 		nextLearnedAt time.Duration
+		// nextFairnessAt is when the fairness index is next computed.
+		nextFairnessAt time.Duration
 
 		reads         []pendingRead
 		nextConfirmAt time.Duration
@@ -88,6 +90,8 @@
 	replanInterval = 250 * time.Millisecond
 	// learnedInterval is the time between proposals of what the planner has learned.
 	learnedInterval = 3 * time.Second
+	// fairnessInterval is the minimum time between two computations of the fairness index.
+	fairnessInterval = 2 * time.Second
 )
 
 // updateLeadership starts or ends the leadership to match the role of the replica.
@@ -160,6 +164,7 @@
 	c.applyFleetOutput(ctx)
 	c.plan(ctx)
 	c.saveLearned()
+	c.reportFairness()
 	c.propose()
 	c.adjustMembers()
 }
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -102,9 +102,15 @@
 		earlier.responders = append(earlier.responders, respond)
 		return
 	}
+	if admission := c.admit(&request.Submission, queue, organisation); !admission.Accepted {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectSubmission(request, organisation) })
+		return
+	}
 	l.submitting[id] = &submission{organisation: organisation, responders: []responder{respond}}
 	l.pending.ops = append(l.pending.ops,
-		pimjob.Submit{Submission: request.Submission, Queue: *queue, Organisation: organisation})
+		pimjob.Submit{
+			Submission: request.Submission, Queue: *queue, Organisation: organisation, RateWindow: c.settings.RateWindow,
+		})
 	l.pending.jobIDs = append(l.pending.jobIDs, id)
 	c.metrics.Add("submitted", 1)
 	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Str("organisation", organisation).
