--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -266,6 +266,11 @@
 		c.metrics.CountStop(stop.Reason)
 		l.fleet.Stop(stop.Worker, stop.Key, stop.Number, c.now)
 	}
+	for _, reservation := range plan.Reservations {
+		c.logger.Info().Stringer("task", reservation.Key).Int("tasks", reservation.Tasks).Int("hosts", reservation.Hosts).
+			Msg("reservation of hosts for a large start is begun, or given up if there are no hosts")
+		c.metrics.Add("reservations", 1)
+	}
 	for _, throttle := range plan.Throttles {
 		l.fleet.Throttle(throttle.Worker, throttle.Key, throttle.Number, throttle.SpeedPercent, c.now)
 	}
--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -40,6 +40,9 @@
 	switch change := change.(type) {
 	case pimjob.JobAccepted:
 		c.metrics.AddForQueue("queue-jobs-accepted", change.Job.Queue.Name, 1)
+		if change.Job.OverRate {
+			c.metrics.Add("organisation-jobs-over-rate", 1)
+		}
 	case pimjob.RunStarted:
 		key := change.Live.Key
 		if job := c.state.Job(key.Job); job != nil && key == (pimjob.TaskKey{Job: key.Job}) && change.Live.Run.Number == 1 {
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -59,10 +59,19 @@
 		Starts    []pimjob.Start
 		Stops     []StopRun
 		Throttles []ThrottleRun
+		// Reservations are those that the plan has begun or, with no hosts, given up.
+		Reservations []Reservation
 		// NextDue is when the next occurrence is due, in milliseconds since 1970, or 0.
 		NextDue int64
 	}
 
+	// Reservation is a step for which hosts are kept free. Key is that of its first waiting task.
+	Reservation struct {
+		Key   pimjob.TaskKey
+		Tasks int
+		Hosts int
+	}
+
 	// StopRun asks to stop a run. Reason is for the log.
 	StopRun struct {
 		Worker string
--- a/internal/job/pimplan/reserve.go
+++ b/internal/job/pimplan/reserve.go
@@ -22,6 +22,9 @@
 	// reservationLimit is how long hosts are reserved for a step: several times the duration of most tasks, after which the
 	// hosts are expected to hold something that does not end.
 	reservationLimit = 10 * time.Second
+	// maxReservationAttempts bounds the cost of a plan in which many steps find no hosts to reserve: each attempt is a pass
+	// over all hosts.
+	maxReservationAttempts = 32
 	// maxAbandoned bounds the memory of steps whose reservation expired.
 	maxAbandoned = 4096
 )
@@ -35,7 +38,10 @@
 	seen  map[stepKey]bool
 	// abandoned are the steps whose reservation expired.
 	abandoned map[stepKey]bool
-	hosts     int
+	// hosts and attempts count the reserved hosts and the attempts of the current plan.
+	hosts, attempts int
+	// smallest is the least that any host has of each resource.
+	smallest pimjob.Resources
 }
 
 func newReservations() reservations {
@@ -44,11 +50,21 @@
 
 // resetReservations makes the reserved hosts available to the first group of a plan.
 func (p *Planner) resetReservations() {
-	for _, h := range p.sortedHosts {
+	r := &p.shares.reservations
+	for i, h := range p.sortedHosts {
 		h.reserved = false
+		if i == 0 {
+			r.smallest = h.worker.Capacity
+			continue
+		}
+		r.smallest = pimjob.Resources{
+			Millicores: min(r.smallest.Millicores, h.worker.Capacity.Millicores),
+			MemoryMB:   min(r.smallest.MemoryMB, h.worker.Capacity.MemoryMB),
+			GPUs:       min(r.smallest.GPUs, h.worker.Capacity.GPUs),
+		}
 	}
-	p.shares.reservations.hosts = 0
-	clear(p.shares.reservations.seen)
+	r.hosts, r.attempts = 0, 0
+	clear(r.seen)
 }
 
 // dropUnusedReservations ends the reservations of steps that the plan has not considered.
@@ -75,7 +91,7 @@
 		}
 		placed := 0
 		if placements, placed = p.placeAndCount(*c, unplaced, placements, plan); placed == 0 {
-			p.reserve(*c)
+			p.reserve(*c, shares, plan)
 			continue
 		}
 		if c.job.Organisation != "" {
@@ -88,23 +104,31 @@
 
 // reserve keeps hosts from the candidates that follow in the plan, so that the step finds space there once the runs on
 // them have ended. Those with the most free processor time come first, so that the next plan chooses the same ones.
-func (p *Planner) reserve(c candidate) {
+func (p *Planner) reserve(c candidate, shares *pimshare.Shares, plan *Plan) {
 	r, step := &p.shares.reservations, &c.job.Submission.Steps[c.key.step]
-	if !c.starved || step.BestEffort || r.abandoned[c.key] || !p.quotaOf(c.job).admits(step.Need, c.together(step)) {
+	if !c.starved || step.BestEffort || !isLargePart(step, c.together(step), r.smallest) || r.abandoned[c.key] || !p.quotaOf(c.job).admits(step.Need, c.together(step)) {
 		return
 	}
 	since, ok := r.since[c.key]
+	if !ok && c.job.Organisation != "" && shares.IsAboveFairShare(c.job.Organisation) {
+		return
+	}
 	if ok && p.shares.now-since > reservationLimit {
 		if len(r.abandoned) >= maxAbandoned {
 			clear(r.abandoned)
 		}
 		r.abandoned[c.key] = true
+		plan.Reservations = append(plan.Reservations, Reservation{Key: c.taskKey(c.tasks[0]), Tasks: c.together(step)})
 		return
 	}
 	limit := max(1, int(reservedHostsPart*float64(len(p.sortedHosts)))) - r.hosts
 	if r.hosts == 0 {
 		limit = max(1, int(maxGangHostsPart*float64(len(p.sortedHosts))))
 	}
+	if limit <= 0 || r.attempts >= maxReservationAttempts {
+		return
+	}
+	r.attempts++
 	chosen := p.hostsToReserve(c, step, limit)
 	if len(chosen) == 0 {
 		return
@@ -116,18 +140,19 @@
 	r.seen[c.key] = true
 	if !ok {
 		r.since[c.key] = p.shares.now
+		plan.Reservations = append(plan.Reservations, Reservation{
+			Key: c.taskKey(c.tasks[0]), Tasks: c.together(step), Hosts: len(chosen),
+		})
 	}
 }
 
 // hostsToReserve returns at most limit hosts that can take the tasks of a step once all but the serving tasks on them
 // have ended, or none if these do not suffice.
 func (p *Planner) hostsToReserve(c candidate, step *pimjob.Step, limit int) []*host {
-	if limit <= 0 {
-		return nil
-	}
 	var usable []*host
 	for _, h := range p.sortedHosts {
-		if p.mayRunOn(c.job, step, h) && h.roomFor(step) > 0 && h.isLargeFor(step, c.together(step)) {
+		if p.mayRunOn(c.job, step, h) && h.roomFor(step) > 0 &&
+			isLargePart(step, c.together(step), h.worker.Capacity) {
 			usable = append(usable, h)
 		}
 	}
@@ -170,11 +195,11 @@
 	return int(max(0, count))
 }
 
-// isLargeFor reports whether count tasks of a step need a large part of the host.
-func (h *host) isLargeFor(step *pimjob.Step, count int) bool {
+// isLargePart reports whether count tasks of a step need a large part of the capacity of a host.
+func isLargePart(step *pimjob.Step, count int, capacity pimjob.Resources) bool {
 	isLarge := func(need, capacity int64) bool {
 		return float64(need)*float64(count) >= minReservedPart*float64(capacity) && need > 0
 	}
-	return isLarge(step.Need.Millicores, h.worker.Capacity.Millicores) ||
-		isLarge(step.Need.MemoryMB, h.worker.Capacity.MemoryMB) || isLarge(step.Need.GPUs, h.worker.Capacity.GPUs)
+	return isLarge(step.Need.Millicores, capacity.Millicores) || isLarge(step.Need.MemoryMB, capacity.MemoryMB) ||
+		isLarge(step.Need.GPUs, capacity.GPUs)
 }
--- a/internal/job/pimplan/shares.go
+++ b/internal/job/pimplan/shares.go
@@ -120,7 +120,7 @@
 		case placed > 0:
 			candidates[index].starved = false
 		case !reserved:
-			p.reserve(c)
+			p.reserve(c, shares, plan)
 		}
 	}
 }
--- a/internal/job/pimshare/shares.go
+++ b/internal/job/pimshare/shares.go
@@ -4,6 +4,9 @@
 package pimshare
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 )
 
@@ -19,19 +22,29 @@
 	Shares struct {
 		capacity pimorganisation.Resources
 		accounts map[string]*Account
+		// weights is the sum of the weights of all accounts.
+		weights float64
 	}
 )
 
-// minWeight is the weight of an organisation with weight 0, which is served after all others but not never.
-const minWeight = 1.0 / 1024
+const (
+	// minWeight is the weight of an organisation with weight 0, which is served after all others but not never.
+	minWeight = 1.0 / 1024
+	// fairShareTolerance lets an organisation that is at its fair share, and varies around it as tasks end, get
+	// reservations.
+	fairShareTolerance = 1.1
+)
 
 // NewShares returns the shares of a total capacity. The accounts are added with Add.
 func NewShares(capacity pimorganisation.Resources) *Shares {
 	return &Shares{capacity: capacity, accounts: map[string]*Account{}}
 }
 
-// Add adds an account or replaces the one with its name.
-func (s *Shares) Add(account Account) { s.accounts[account.Name] = &account }
+// Add adds an account. There must be none with its name.
+func (s *Shares) Add(account Account) {
+	s.accounts[account.Name] = &account
+	s.weights += effectiveWeight(account.Weight)
+}
 
 // Has reports whether there is an account with this name.
 func (s *Shares) Has(name string) bool { return s.accounts[name] != nil }
@@ -48,10 +61,16 @@
 	return s.dominant(account.Used) / effectiveWeight(account.Weight)
 }
 
+// IsAboveFairShare reports whether an organisation uses more than its weight gives it among all accounts, by more than
+// a tenth.
+func (s *Shares) IsAboveFairShare(name string) bool {
+	return s.Normalised(name)*s.weights > fairShareTolerance
+}
+
 // Index returns Jain's index over the normalised shares of all accounts.
 func (s *Shares) Index() float64 {
 	values := make([]float64, 0, len(s.accounts))
-	for name := range s.accounts {
+	for _, name := range slices.Sorted(maps.Keys(s.accounts)) {
 		values = append(values, s.Normalised(name))
 	}
 	return Jain(values)
