--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -44,6 +44,8 @@
 		ToleratedFailures int
 		Fleet             pimfleet.Policy
 		Plan              pimplan.Settings
+		// RateWindow is the window of the rates of organisations, or 0 if rates are off.
+		RateWindow time.Duration
 		// OpenFile opens segments of the log; nil means pimlog.OpenSegment.
 		OpenFile pimlog.OpenFile
 	}
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -35,6 +35,8 @@
 		// nextLearnedAt is when what the planner has learned is next proposed.
 		nextLearnedAt time.Duration
 		waitLines     waitLines
+		// nextFairnessAt is when the fairness index is next computed.
+		nextFairnessAt time.Duration
 
 		reads         []pendingRead
 		nextConfirmAt time.Duration
@@ -89,6 +91,8 @@
 	replanInterval = 250 * time.Millisecond
 	// learnedInterval is the time between proposals of what the planner has learned.
 	learnedInterval = 3 * time.Second
+	// fairnessInterval is the minimum time between two computations of the fairness index.
+	fairnessInterval = 2 * time.Second
 )
 
 // updateLeadership starts or ends the leadership to match the role of the replica.
@@ -162,6 +166,7 @@
 	c.applyFleetOutput(ctx)
 	c.plan(ctx)
 	c.saveLearned()
+	c.reportFairness()
 	c.propose()
 	c.adjustMembers()
 }
@@ -262,6 +267,11 @@
 		l.fleet.Stop(stop.Worker, stop.Key, stop.Number, c.now)
 	}
 	c.reportStops(plan.StopReport)
+	for _, reservation := range plan.Reservations {
+		c.logger.Info().Stringer("task", reservation.Key).Int("tasks", reservation.Tasks).Int("hosts", reservation.Hosts).
+			Msg("reservation of hosts for a large start is begun, or given up if there are no hosts")
+		c.metrics.Add("reservations", 1)
+	}
 	for _, throttle := range plan.Throttles {
 		l.fleet.Throttle(throttle.Worker, throttle.Key, throttle.Number, throttle.SpeedPercent, c.now)
 	}
--- a/internal/job/pimplan/deadlines.go
+++ b/internal/job/pimplan/deadlines.go
@@ -49,7 +49,7 @@
 
 // setObjective sets the times until which an occurrence earns credit from its longest chain of work in milliseconds.
 func (d *deadlines) setObjective(job *pimjob.Job, begin, total int64) {
-	objective := int64(float64(total)*max(1, job.Queue.Stretch)) + job.Queue.Objective.Milliseconds()
+	objective := objectiveOf(total, &job.Queue)
 	d.due, d.latest = begin+objective, begin+lateFactor*objective
 }
 
@@ -79,6 +79,11 @@
 	}
 }
 
+// objectiveOf returns the time in milliseconds within which a job is to end whose longest chain of steps takes chain.
+func objectiveOf(chain int64, queue *pimjob.Queue) int64 {
+	return int64(float64(chain)*max(1, queue.Stretch)) + queue.Objective.Milliseconds()
+}
+
 // longestChain returns the estimate in milliseconds of the longest chain of steps that depend on each other, of which only
 // those that count are added up.
 func longestChain(steps []pimjob.Step, counts func(step int) bool) int64 {
--- a/internal/job/pimplan/delay.go
+++ b/internal/job/pimplan/delay.go
@@ -301,7 +301,7 @@
 	}
 	far := p.rank(c, step, p.sortedHosts, func(h *host) bool { return !h.worker.HasLabel(step.PreferredLabel) })
 	if far.Len() == 0 && near.Len() == 0 && step.MaxPerWorker == 0 {
-		class := equivalenceClassOf(c, step)
+		class := equivalenceClassOf(&c.job.Queue, step)
 		unplaced[class] = append(unplaced[class], step.Need)
 	}
 	for _, index := range left {
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -24,6 +24,8 @@
 		// contention is the share of the free processor time near the host that tasks with a preferred label are about to
 		// use.
 		contention float64
+		// A reserved host gets no further runs from the current plan, see reserve.
+		reserved   bool
 		throttling throttleState
 		progress   progressState
 	}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -58,6 +58,8 @@
 		// topology is nil if a host has changed since it was built.
 		topology *topology
 		waits    waits
+		// shares is how scarce capacity is divided between organisations.
+		shares shareState
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -67,12 +69,21 @@
 		Throttles []ThrottleRun
 		// Waits lists the tasks that no longer wait for a preferred host.
 		Waits []EndedWait
+		// Reservations are those that the plan has begun or, with no hosts, given up.
+		Reservations []Reservation
 		// NextDue is when the next occurrence is due, in milliseconds since 1970, or 0.
 		NextDue int64
 		// StopReport is what has become of earlier stops.
 		StopReport pimstop.Report
 	}
 
+	// Reservation is a step for which hosts are kept free. Key is that of its first waiting task.
+	Reservation struct {
+		Key   pimjob.TaskKey
+		Tasks int
+		Hosts int
+	}
+
 	// StopRun asks to stop a run. Reason and Decision, what it was decided from, are for the log.
 	StopRun struct {
 		Worker   string
@@ -140,7 +151,7 @@
 		waitingJobs: map[string]*waitingJob{}, changedJobs: map[string]bool{}, liveRuns: map[string]int{},
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
-		durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
+		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
 	}
 	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
@@ -217,7 +228,7 @@
 
 // forgetJob removes what was recorded about a job that has ended.
 func (p *Planner) forgetJob(job *pimjob.Job) {
-	delete(p.waitingJobs, job.Submission.ID)
+	p.setWaiting(job, nil)
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
@@ -244,8 +255,12 @@
 	unplaced := unplaceable{}
 	candidates := p.candidates(now, wallClock, &plan)
 	p.waits.begin(p, candidates, now, wallClock)
-	for _, c := range candidates {
-		placements = p.place(c, unplaced, placements, &plan)
+	if len(p.state.Config().Organisations) > 0 {
+		placements = p.placeForOrganisations(candidates, unplaced, now, &plan)
+	} else {
+		for _, c := range candidates {
+			placements = p.place(c, unplaced, placements, &plan)
+		}
 	}
 	// Runs count as placed only once their starts are committed.
 	for _, placed := range placements {
@@ -271,20 +286,24 @@
 	for id := range p.changedJobs {
 		delete(p.changedJobs, id)
 		job := p.state.Job(id)
-		if job == nil || job.State.IsEnded() {
+		if job == nil {
 			delete(p.waitingJobs, id)
 			continue
 		}
+		if job.State.IsEnded() {
+			p.setWaiting(job, nil)
+			continue
+		}
 		waiting := newWaitingJob(job, wallClock)
 		p.correctDeadlines(waiting)
 		if len(waiting.candidates) == 0 && waiting.nextDue == 0 {
-			delete(p.waitingJobs, id)
+			p.setWaiting(job, nil)
 			continue
 		}
 		if known := p.waitingJobs[id]; known != nil {
 			waiting.idleSince = known.idleSince
 		}
-		p.waitingJobs[id] = waiting
+		p.setWaiting(job, waiting)
 		switch {
 		case p.liveRuns[id] > 0 || len(waiting.candidates) == 0:
 			waiting.idleSince = 0
