Recheck keys when an entry is applied, and bound gangs by their quota

Cause: a submission or cancellation that was proposed before its key was revoked took effect when its entry was committed after the revocation, possibly after a restart of all machines. A gang could exceed a quota without bound at half usage, and a run of an earlier start of a gang let the next start pass. Tasks started while another resource exceeded a lowered quota. The owner of a job could not repeat its submission after the queue became public or private. A job whose queue was removed was not found if a shorter prefix took over its address. Change: Submit and Cancel hold the version of the configuration that authorised them; under another version they have no effect and the forwarder repeats the request. Admits takes the number of tasks; the exception is one task, and only with all resources at half of the quota.

--- a/internal/base/pimorganisation/organisation.go
+++ b/internal/base/pimorganisation/organisation.go
@@ -59,16 +59,15 @@
 		within(r.Accelerators, quota.Accelerators)
 }
 
-// Admits reports whether an organisation that uses used may start tasks that need need. Its usage must stay within
-// its quota. In a resource of which it uses at most half of its quota, it may exceed the quota by these tasks, so that a
-// task that is larger than the other half can start at all.
-func (o *Organisation) Admits(used, need Resources) bool {
-	admits := func(used, need, limit int64) bool {
-		return limit == 0 || need == 0 || used+need <= limit || used <= limit/2
+// Admits reports whether an organisation that uses used may start count tasks together that need need each. Its usage
+// must stay within its quota. An organisation that uses at most half of its quota may exceed it by one task, so that a
+// task larger than the other half can start at all. While its usage exceeds its quota, nothing starts.
+func (o *Organisation) Admits(used, need Resources, count int) bool {
+	total := used.Add(need.Times(int64(count)))
+	if total.WithinQuota(o.Quota) {
+		return true
 	}
-	return admits(used.CPUMillis, need.CPUMillis, o.Quota.CPUMillis) &&
-		admits(used.MemoryMB, need.MemoryMB, o.Quota.MemoryMB) &&
-		admits(used.Accelerators, need.Accelerators, o.Quota.Accelerators)
+	return used.Times(2).WithinQuota(o.Quota) && total.Sub(need).WithinQuota(o.Quota)
 }
 
 // HasKey reports whether key is one of the organisation's keys. Its duration tells nothing about the keys' content.
--- a/internal/job/pimcontrol/access.go
+++ b/internal/job/pimcontrol/access.go
@@ -23,6 +23,9 @@
 }
 
 func unknownKey(address pimrpc.Address) pimrpc.Response {
+	if address.Key == "" {
+		return pimrpc.Rejected{Code: pimcode.KeyUnknown, Detail: "no key is given"}
+	}
 	return pimrpc.Rejected{Code: pimcode.KeyUnknown, Detail: "key " + pimorganisation.Digest(address.Key) + " is unknown"}
 }
 
@@ -69,10 +72,59 @@
 	return nil
 }
 
-// repeatedSubmission returns the response to a submission with the ID of a known job.
-func repeatedSubmission(id, owner, organisation string) pimrpc.Response {
-	if owner != organisation {
-		return pimrpc.Rejected{Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + id}
+// repeatedSubmission returns the response to a submission with the ID of a known job. Its owner may repeat it after the
+// queue became public, or began to require a key.
+func (c *Control) repeatedSubmission(request pimrpc.Submit) pimrpc.Response {
+	job := c.state.Job(request.Submission.ID)
+	queue, _ := c.state.Config().FindQueue(request.Host, request.Path)
+	if job == nil || queue == nil {
+		return pimrpc.OutcomeUnknown{}
+	}
+	caller := ""
+	if owner := pimorganisation.FindByKey(c.state.Config().Organisations, request.Key); owner != nil {
+		caller = owner.Name
+	}
+	isSameQueue := queue.Host == job.Queue.Host && queue.Prefix == job.Queue.Prefix
+	switch {
+	case job.Organisation != "" && caller == job.Organisation, job.Organisation == "" && (isSameQueue || !queue.RequiresKey):
+		return pimrpc.Done{}
+	case queue.RequiresKey && caller == "":
+		return c.reportRejection(request.Address, unknownKey(request.Address))
+	}
+	return idReused(request.Submission.ID)
+}
+
+func idReused(id string) pimrpc.Response {
+	return pimrpc.Rejected{Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + id}
+}
+
+// versionOfKeyOf returns the version of the configuration in effect, which holds the caller's key, or 0 for a job
+// without an organisation.
+func (c *Control) versionOfKeyOf(organisation string) int64 {
+	if organisation == "" {
+		return 0
+	}
+	return c.state.Config().Version
+}
+
+// respondIfEnded returns a responder for a cancellation. A cancellation whose key must be checked again had no effect;
+// OutcomeUnknown makes the forwarder repeat it.
+func (c *Control) respondIfEnded(id string, respond responder) responder {
+	return func(response pimrpc.Response) {
+		if _, done := response.(pimrpc.Done); done {
+			if job := c.state.Job(id); job == nil || !job.State.IsEnded() {
+				response = pimrpc.OutcomeUnknown{}
+			}
+		}
+		respond(response)
+	}
+}
+
+// submissionResponse returns the response to a committed submission. OutcomeUnknown makes the forwarder repeat one that
+// had no effect.
+func (c *Control) submissionResponse(id, organisation string) pimrpc.Response {
+	if job := c.state.Job(id); job == nil || job.Organisation != organisation {
+		return pimrpc.OutcomeUnknown{}
 	}
 	return pimrpc.Done{}
 }
--- a/internal/job/pimcontrol/control_test.go
+++ b/internal/job/pimcontrol/control_test.go
@@ -157,15 +157,7 @@
 func (g *group) leader() string {
 	g.t.Helper()
 	g.putConfig("a:1", 1)
-	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		for _, address := range g.addresses {
-			if g.members[address].control.IsLeader() {
-				return address
-			}
-		}
-	}
-	g.t.Fatal("no member became leader")
-	return ""
+	return g.currentLeader()
 }
 
 func (g *group) others(of string) []string {
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -323,8 +323,9 @@
 	}
 	batch.respond(pimrpc.Done{})
 	for _, id := range batch.jobIDs {
+		response := c.submissionResponse(id, l.submitting[id].organisation)
 		for _, respond := range l.submitting[id].responders {
-			respond(pimrpc.Done{})
+			respond(response)
 		}
 		delete(l.submitting, id)
 	}
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -85,26 +85,28 @@
 		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownQueue(request.Host, request.Path) })
 		return
 	}
+	if c.state.Job(id) != nil {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return c.repeatedSubmission(request) })
+		return
+	}
 	organisation, ok := c.state.Config().Authorize(queue, request.Key)
 	if !ok {
 		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownKey(request.Address) })
 		return
 	}
-	if job := c.state.Job(id); job != nil {
-		l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, job.Organisation, organisation) })
-		return
-	}
 	if earlier, ok := l.submitting[id]; ok {
 		if earlier.organisation != organisation {
-			l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, earlier.organisation, organisation) })
+			l.enqueueRead(c, respond, func() pimrpc.Response { return idReused(id) })
 			return
 		}
 		earlier.responders = append(earlier.responders, respond)
 		return
 	}
 	l.submitting[id] = &submission{organisation: organisation, responders: []responder{respond}}
-	l.pending.ops = append(l.pending.ops,
-		pimjob.Submit{Submission: request.Submission, Queue: *queue, Organisation: organisation})
+	l.pending.ops = append(l.pending.ops, pimjob.Submit{
+		Submission: request.Submission, Queue: *queue, Organisation: organisation,
+		AuthorizedBy: c.versionOfKeyOf(organisation),
+	})
 	l.pending.jobIDs = append(l.pending.jobIDs, id)
 	c.metrics.Add("submitted", 1)
 	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Str("organisation", organisation).
@@ -144,12 +146,20 @@
 	return pimrpc.Rejected{Code: pimcode.JobUnknown, Detail: "no job " + id}
 }
 
-// findTarget returns the queue and the job ID of an address. A job may outlive its queue in the configuration; its
-// path ends with its ID.
+// findTarget returns the queue and the job ID of an address. A job may outlive its queue in the configuration, also where
+// the address then belongs to a queue with a shorter prefix; its path ends with its ID.
 func (c *Control) findTarget(address pimrpc.Address) (*pimjob.Queue, string) {
 	queue, id := c.state.Config().FindQueue(address.Host, address.Path)
-	if queue == nil && len(address.Path) >= jobIDLength {
-		id = address.Path[len(address.Path)-jobIDLength:]
+	if len(address.Path) < jobIDLength {
+		return queue, id
+	}
+	last := address.Path[len(address.Path)-jobIDLength:]
+	if queue == nil {
+		return nil, last
+	}
+	job := c.state.Job(last)
+	if job != nil && job.Queue.Host == address.Host && job.Queue.Prefix+last == address.Path {
+		return queue, last
 	}
 	return queue, id
 }
@@ -168,8 +178,14 @@
 			return pimrpc.OutcomeUnknown{}
 		})
 	case submitting || (job != nil && !job.State.IsEnded()):
+		organisation := ""
+		if job != nil {
+			organisation = job.Organisation
+		} else {
+			organisation = l.submitting[id].organisation
+		}
 		c.logger.Info().Str("job", id).Msg("cancellation of a job is proposed")
-		l.enqueueWrite(respond, pimjob.Cancel{ID: id})
+		l.enqueueWrite(c.respondIfEnded(id, respond), pimjob.Cancel{ID: id, AuthorizedBy: c.versionOfKeyOf(organisation)})
 	default:
 		l.enqueueRead(c, respond, func() pimrpc.Response {
 			if c.state.Job(id) != nil {
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -58,7 +58,7 @@
 }
 
 func (s *State) submit(op Submit) []Change {
-	if s.tables.Jobs[op.Submission.ID] != nil {
+	if s.tables.Jobs[op.Submission.ID] != nil || s.isAuthorizationOutdated(op.AuthorizedBy) {
 		return nil
 	}
 	job := &Job{Submission: op.Submission, Queue: op.Queue, Organisation: op.Organisation, AcceptedAt: s.tables.Now}
@@ -78,12 +78,18 @@
 
 func (s *State) cancel(op Cancel) []Change {
 	job := s.tables.Jobs[op.ID]
-	if job == nil || job.State.IsEnded() {
+	if job == nil || job.State.IsEnded() || s.isAuthorizationOutdated(op.AuthorizedBy) {
 		return nil
 	}
 	return s.endJob(job, Cancelled)
 }
 
+// isAuthorizationOutdated reports whether a key that was checked against a version of the configuration must be checked
+// again.
+func (s *State) isAuthorizationOutdated(version int64) bool {
+	return version != 0 && version != s.tables.Config.Version
+}
+
 func (s *State) endJob(job *Job, state JobState) []Change {
 	job.State = state
 	job.EndedAt = s.tables.Now
@@ -115,23 +121,24 @@
 }
 
 // quotaAdmits reports whether the quota of a job's organisation admits a start. The members of a gang are admitted with
-// the first one, since a gang of which some members are missing does not work.
+// the first one, since a gang of which some members are missing does not work. Their starts have the same number and
+// are in one entry of the log.
 func (s *State) quotaAdmits(op Start, step *Step, job *Job) bool {
 	organisation := s.Organisation(job)
 	if organisation == nil {
 		return true
 	}
-	need := step.Need.Amounts()
+	count := 1
 	if step.Gang {
 		tasks := job.Occurrences[op.Key.Occurrence].Steps[op.Key.Step].Tasks
 		for i := range tasks {
-			if tasks[i].Run != nil {
+			if tasks[i].Run != nil && tasks[i].Run.Number == op.Number {
 				return true
 			}
 		}
-		need = need.Times(int64(len(tasks)))
+		count = len(tasks)
 	}
-	return organisation.Admits(s.usage[job.Organisation], need)
+	return organisation.Admits(s.usage[job.Organisation], step.Need.Amounts(), count)
 }
 
 func (s *State) saveCheckpoint(op SaveCheckpoint) []Change {
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -11,17 +11,23 @@
 	// Op is an operation on the state.
 	Op interface{ isOp() }
 
-	// Submit adds a job with the settings of a queue. It has no effect if a job with this id exists.
+	// Submit adds a job with the settings of a queue. It has no effect if a job with this id exists, or if AuthorizedBy
+	// is not the version of the configuration in effect.
 	Submit struct {
 		Submission Submission `msgpack:"s"`
 		Queue      Queue      `msgpack:"q"`
 		// Organisation is the name of the owner of the job, or "".
 		Organisation string `msgpack:"g,omitempty"`
+		// AuthorizedBy is the version of the configuration that holds the caller's key, or 0 without one. An entry may
+		// be committed long after it was proposed, for instance by the next leader after a restart of all machines,
+		// when the key is revoked.
+		AuthorizedBy int64 `msgpack:"v,omitempty"`
 	}
 
-	// Cancel ends a job. Its live runs are stopped afterwards.
+	// Cancel ends a job. Its live runs are stopped afterwards. AuthorizedBy is as for Submit.
 	Cancel struct {
-		ID string `msgpack:"i"`
+		ID           string `msgpack:"i"`
+		AuthorizedBy int64  `msgpack:"v,omitempty"`
 	}
 
 	// Start places a run of a task on a worker. It has no effect if the job has ended, the task is
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -268,7 +268,11 @@
 }
 
 func randomOp(t *rapid.T) pimjob.Op {
-	k := key("a", rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 1).Draw(t, "index"))
+	return randomOpOn(t, key("a", rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 1).Draw(t, "index")))
+}
+
+// randomOpOn returns a random operation on a worker or on the runs of a task.
+func randomOpOn(t *rapid.T, k pimjob.TaskKey) pimjob.Op {
 	id := rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker")
 	generation := rapid.Int64Range(1, 3).Draw(t, "born")
 	number := rapid.IntRange(1, 6).Draw(t, "number")
--- a/internal/job/pimplan/quota.go
+++ b/internal/job/pimplan/quota.go
@@ -28,7 +28,7 @@
 
 // admits reports whether count more tasks may start together.
 func (q *quotaUse) admits(need pimjob.Resources, count int) bool {
-	return q == nil || q.organisation.Admits(q.used, need.Amounts().Times(int64(count)))
+	return q == nil || q.organisation.Admits(q.used, need.Amounts(), count)
 }
 
 func (q *quotaUse) add(need pimjob.Resources, count int) {
