Report the share, quota, usage and waiting jobs of each organisation

Cause: operators could not see why the jobs of an organisation wait or why its calls are rejected. Rejections because of a key write at most 20 lines in 2 s. The line on a new configuration names added and revoked keys by digest.

--- a/internal/base/pimmetric/metric.go
+++ b/internal/base/pimmetric/metric.go
@@ -60,6 +60,16 @@
 	m.scope.Tagged(map[string]string{"queue": queue}).Counter(name).Inc(count)
 }
 
+// AddForOrganisation adds count to a counter that is kept for each organisation.
+func (m *Metrics) AddForOrganisation(name, organisation string, count int64) {
+	m.scope.Tagged(map[string]string{"organisation": organisation}).Counter(name).Inc(count)
+}
+
+// SetForOrganisation sets a gauge that is kept for each organisation.
+func (m *Metrics) SetForOrganisation(name, organisation string, value float64) {
+	m.scope.Tagged(map[string]string{"organisation": organisation}).Gauge(name).Update(value)
+}
+
 // CountRunEnd counts the end of a run by its end kind.
 func (m *Metrics) CountRunEnd(kind string) {
 	m.scope.Tagged(map[string]string{"how": kind}).Counter("run-ends").Inc(1)
--- a/internal/job/pimcontrol/access.go
+++ b/internal/job/pimcontrol/access.go
@@ -1,12 +1,50 @@
 package pimcontrol
 
 import (
+	"time"
+
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 )
 
+// rejectionLog counts the log lines on rejected requests since the window began. suppressed counts the rejections that were
+// not logged since the last line.
+type rejectionLog struct {
+	windowEnd         time.Duration
+	lines, suppressed int
+}
+
+const (
+	// maxRejectionLines is how many rejections are logged in rejectionLogWindow, so that a caller with a revoked key
+	// doesn't fill the log.
+	maxRejectionLines  = 20
+	rejectionLogWindow = 2 * time.Second
+)
+
+// maxLoggedKeys bounds the line on a new configuration.
+const maxLoggedKeys = 16
+
+// digestsOfNewKeys returns the digests of the keys that only the second list holds, at most maxLoggedKeys.
+func digestsOfNewKeys(before, after []pimorganisation.Organisation) []string {
+	known := map[string]bool{}
+	for i := range before {
+		for _, key := range before[i].Keys {
+			known[key] = true
+		}
+	}
+	var digests []string
+	for i := range after {
+		for _, key := range after[i].Keys {
+			if !known[key] && len(digests) < maxLoggedKeys {
+				digests = append(digests, pimorganisation.Digest(key))
+			}
+		}
+	}
+	return digests
+}
+
 // rejectUnknownKey returns the response to a request whose key belonged to no organisation when it was received. If a
 // configuration has added the key meanwhile, OutcomeUnknown makes the forwarder repeat the request. It must be evaluated
 // after the leadership is confirmed, since a leader that was replaced may not know the newest keys.
@@ -32,11 +70,35 @@
 // reportRejection logs and counts the rejection of a request, and returns it.
 func (c *Control) reportRejection(address pimrpc.Address, response pimrpc.Response) pimrpc.Response {
 	c.metrics.Add("access-rejected", 1)
-	c.logger.Info().Str("path", address.Path).Str("key-digest", pimorganisation.Digest(address.Key)).
-		Int64("version", c.state.Config().Version).Any("response", response).Msg("request rejected because of its key")
+	if !c.rejections.admit(c.now) {
+		return response
+	}
+	entry := c.logger.Info().Str("host", address.Host).Str("path", address.Path)
+	if address.Key != "" {
+		entry = entry.Str("key-digest", pimorganisation.Digest(address.Key))
+	}
+	if rejected, ok := response.(pimrpc.Rejected); ok {
+		entry = entry.Stringer("code", rejected.Code)
+	}
+	entry.Int64("version", c.state.Config().Version).Int("not-logged", c.rejections.suppressed).
+		Msg("request rejected because of its key")
+	c.rejections.suppressed = 0
 	return response
 }
 
+// admit reports whether a rejection at a time may be logged. It counts those that may not.
+func (r *rejectionLog) admit(now time.Duration) bool {
+	if now >= r.windowEnd {
+		r.windowEnd, r.lines = now+rejectionLogWindow, 0
+	}
+	if r.lines >= maxRejectionLines {
+		r.suppressed++
+		return false
+	}
+	r.lines++
+	return true
+}
+
 // authorizeForJob returns the rejection of a request for a job, or nil if the key that it gives belongs to the owner of
 // the job, or the job has no owner.
 func (c *Control) authorizeForJob(address pimrpc.Address, job *pimjob.Job) pimrpc.Response {
@@ -91,11 +153,15 @@
 	case queue.RequiresKey && caller == "":
 		return c.reportRejection(request.Address, unknownKey(request.Address))
 	}
-	return idReused(request.Submission.ID)
+	return c.rejectReusedID(request, caller)
 }
 
-func idReused(id string) pimrpc.Response {
-	return pimrpc.Rejected{Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + id}
+// rejectReusedID returns the rejection of an organisation's job with the ID of a job that another owner submitted.
+func (c *Control) rejectReusedID(request pimrpc.Submit, organisation string) pimrpc.Response {
+	c.organisations.countRejected(organisation)
+	return c.reportRejection(request.Address, pimrpc.Rejected{
+		Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + request.Submission.ID,
+	})
 }
 
 // versionOfKeyOf returns the version of the configuration in effect, which holds the caller's key, or 0 for a job
--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -85,7 +85,10 @@
 		leadership *leadership
 		isLeader   atomic.Bool
 		// lastLeader is the leader that was last logged and passed to the forwarder.
-		lastLeader string
+		lastLeader    string
+		organisations *organisationReport
+		// rejections limits the log lines on requests that are rejected because of their key.
+		rejections rejectionLog
 		// steppingDown is set once StepDown was called.
 		steppingDown   bool
 		nextHandoverAt time.Duration
@@ -154,9 +157,10 @@
 	}
 	c := &Control{
 		settings: settings, logger: logger, metrics: metrics, workers: workers, id: identity.ID, voters: identity.Voters,
-		events:   make(chan event, eventQueueSize),
-		commands: pond.NewPool(maxCommands, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
-		renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
+		organisations: newOrganisationReport(metrics, logger),
+		events:        make(chan event, eventQueueSize),
+		commands:      pond.NewPool(maxCommands, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
+		renewals:      pond.NewPool(maxRenewals, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
 	}
 	return c, c.open()
 }
@@ -266,6 +270,7 @@
 		if c.leadership != nil {
 			c.leadership.abandon()
 			c.leadership = nil
+			c.organisations.stop()
 		}
 		for c.rejectRequests(ctx, reopenDelay) {
 			if err = c.open(); err == nil {
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -97,6 +97,7 @@
 		c.logger.Warn().Uint64("term", c.leadership.term).Msg("lost the leadership of the job group")
 		c.leadership.abandon()
 		c.leadership = nil
+		c.organisations.stop()
 	}
 	if isLeader && c.leadership == nil {
 		c.leadership = &leadership{
@@ -160,6 +161,7 @@
 	c.applyFleetOutput(ctx)
 	c.plan(ctx)
 	c.saveLearned()
+	c.organisations.update(c.state, func(worker string) bool { return l.fleet.IsUsable(worker, c.now) }, c.now)
 	c.propose()
 	c.adjustMembers()
 }
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -96,7 +96,7 @@
 	}
 	if earlier, ok := l.submitting[id]; ok {
 		if earlier.organisation != organisation {
-			l.enqueueRead(c, respond, func() pimrpc.Response { return idReused(id) })
+			l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectReusedID(request, organisation) })
 			return
 		}
 		earlier.responders = append(earlier.responders, respond)
@@ -256,7 +256,11 @@
 		c.leadership.enqueueRead(c, respond, func() pimrpc.Response { return pimrpc.Done{} })
 		return
 	}
+	current := c.state.Config().Organisations
 	c.logger.Info().Int64("version", request.Config.Version).Int("queues", len(request.Config.Queues)).
+		Int("organisations", len(request.Config.Organisations)).
+		Strs("keys-added", digestsOfNewKeys(current, request.Config.Organisations)).
+		Strs("keys-revoked", digestsOfNewKeys(request.Config.Organisations, current)).
 		Msg("configuration is proposed")
 	c.leadership.enqueueWrite(respond, pimjob.PutConfig{Config: request.Config})
 }
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -43,6 +43,7 @@
 			return nil
 		}
 		s.tables.Config = op.Config
+		s.indexOrganisations()
 		return []Change{ConfigChanged{}}
 	case MarkDomain:
 		if op.OutOfService {
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -13,13 +13,15 @@
 )
 
 type (
-	// State is the whole replicated state. liveRuns, by worker, openJobs and usage, by organisation,
-	// are derived from tables.
+	// State is the whole replicated state. liveRuns, by worker, openJobs, usage, by organisation, and
+	// organisations, by name, are derived from tables.
 	State struct {
 		tables   tables
 		liveRuns map[string]map[TaskKey]LiveRun
 		openJobs map[string]*Job
 		usage    map[string]pimorganisation.Resources
+
+		organisations map[string]*pimorganisation.Organisation
 	}
 
 	// tables are the stored part of the state. OutOfService holds failure domains, EndedGenerations
@@ -36,6 +38,9 @@
 		NextCleanupAt int64 `msgpack:"f"`
 	}
 
+	// Waiting counts jobs that have not started, and those of them whose first task the quota does not admit.
+	Waiting struct{ Jobs, ForQuota int }
+
 	// Change is an effect of an operation on the state.
 	Change interface{ isChange() }
 
@@ -152,6 +157,7 @@
 	s.liveRuns = map[string]map[TaskKey]LiveRun{}
 	s.openJobs = map[string]*Job{}
 	s.usage = map[string]pimorganisation.Resources{}
+	s.indexOrganisations()
 	for id, job := range s.tables.Jobs {
 		if !job.State.IsEnded() {
 			s.openJobs[id] = job
@@ -164,6 +170,14 @@
 	}
 }
 
+func (s *State) indexOrganisations() {
+	s.organisations = map[string]*pimorganisation.Organisation{}
+	for i := range s.tables.Config.Organisations {
+		organisation := &s.tables.Config.Organisations[i]
+		s.organisations[organisation.Name] = organisation
+	}
+}
+
 func (j *Job) forEachTask(visit func(key TaskKey, task *Task)) {
 	for occurrence := range j.Occurrences {
 		for step := range j.Occurrences[occurrence].Steps {
@@ -205,12 +219,38 @@
 // Usage returns what the live runs of an organisation request, best-effort tasks included.
 func (s *State) Usage(organisation string) pimorganisation.Resources { return s.usage[organisation] }
 
+// Usages returns, by organisation, what its live runs request. The map must not be modified.
+func (s *State) Usages() map[string]pimorganisation.Resources { return s.usage }
+
+// WaitingJobs counts, by organisation, the jobs that have not started.
+func (s *State) WaitingJobs() map[string]Waiting {
+	waiting := map[string]Waiting{}
+	for _, job := range s.openJobs {
+		if job.Started || job.Organisation == "" || len(job.Submission.Steps) == 0 {
+			continue
+		}
+		count := waiting[job.Organisation]
+		count.Jobs++
+		step := &job.Submission.Steps[0]
+		together := 1
+		if step.Gang {
+			together = step.Count
+		}
+		owner := s.Organisation(job)
+		if owner != nil && !owner.Admits(s.usage[job.Organisation], step.Need.Amounts(), together) {
+			count.ForQuota++
+		}
+		waiting[job.Organisation] = count
+	}
+	return waiting
+}
+
 // Organisation returns the owner of a job, or nil if it has none or the configuration in effect does not hold it.
 func (s *State) Organisation(job *Job) *pimorganisation.Organisation {
 	if job.Organisation == "" {
 		return nil
 	}
-	return pimorganisation.Find(s.tables.Config.Organisations, job.Organisation)
+	return s.organisations[job.Organisation]
 }
 
 // Config returns the configuration in effect; version 0 means that there is none.
