--- a/internal/job/pimcontrol/access.go
+++ b/internal/job/pimcontrol/access.go
@@ -1,12 +1,50 @@
 package pimcontrol
 
 import (
+	"time"
+
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 )
 
+// rejectionLog counts the log lines on rejected requests since the window began. suppressed counts the rejections that were
+// not logged since the last line.
+type rejectionLog struct {
+	windowEnd         time.Duration
+	lines, suppressed int
+}
+
+const (
+	// maxRejectionLines is how many rejections are logged in rejectionLogWindow, so that a caller with a revoked key
+	// doesn't fill the log.
+	maxRejectionLines  = 20
+	rejectionLogWindow = 2 * time.Second
+)
+
+// maxLoggedKeys bounds the line on a new configuration.
+const maxLoggedKeys = 16
+
+// digestsOfNewKeys returns the digests of the keys that only the second list holds, at most maxLoggedKeys.
+func digestsOfNewKeys(before, after []pimorganisation.Organisation) []string {
+	known := map[string]bool{}
+	for i := range before {
+		for _, key := range before[i].Keys {
+			known[key] = true
+		}
+	}
+	var digests []string
+	for i := range after {
+		for _, key := range after[i].Keys {
+			if !known[key] && len(digests) < maxLoggedKeys {
+				digests = append(digests, pimorganisation.Digest(key))
+			}
+		}
+	}
+	return digests
+}
+
 // rejectUnknownKey returns the response to a request whose key belonged to no organisation when it was received. If a
 // configuration has added the key meanwhile, OutcomeUnknown makes the forwarder repeat the request. It must be evaluated
 // after the leadership is confirmed, since a leader that was replaced may not know the newest keys.
@@ -23,17 +61,44 @@
 }
 
 func unknownKey(address pimrpc.Address) pimrpc.Response {
+	if address.Key == "" {
+		return pimrpc.Rejected{Code: pimcode.KeyUnknown, Detail: "no key is given"}
+	}
 	return pimrpc.Rejected{Code: pimcode.KeyUnknown, Detail: "key " + pimorganisation.Digest(address.Key) + " is unknown"}
 }
 
 // reportRejection logs and counts the rejection of a request, and returns it.
 func (c *Control) reportRejection(address pimrpc.Address, response pimrpc.Response) pimrpc.Response {
 	c.metrics.Add("access-rejected", 1)
-	c.logger.Info().Str("path", address.Path).Str("key-digest", pimorganisation.Digest(address.Key)).
-		Int64("version", c.state.Config().Version).Any("response", response).Msg("request rejected because of its key")
+	if !c.rejections.admit(c.now) {
+		return response
+	}
+	entry := c.logger.Info().Str("host", address.Host).Str("path", address.Path)
+	if address.Key != "" {
+		entry = entry.Str("key-digest", pimorganisation.Digest(address.Key))
+	}
+	if rejected, ok := response.(pimrpc.Rejected); ok {
+		entry = entry.Stringer("code", rejected.Code)
+	}
+	entry.Int64("version", c.state.Config().Version).Int("not-logged", c.rejections.suppressed).
+		Msg("request rejected because of its key")
+	c.rejections.suppressed = 0
 	return response
 }
 
+// admit reports whether a rejection at a time may be logged. It counts those that may not.
+func (r *rejectionLog) admit(now time.Duration) bool {
+	if now >= r.windowEnd {
+		r.windowEnd, r.lines = now+rejectionLogWindow, 0
+	}
+	if r.lines >= maxRejectionLines {
+		r.suppressed++
+		return false
+	}
+	r.lines++
+	return true
+}
+
 // authorizeForJob returns the rejection of a request for a job, or nil if the key that it gives belongs to the owner of
 // the job, or the job has no owner.
 func (c *Control) authorizeForJob(address pimrpc.Address, job *pimjob.Job) pimrpc.Response {
@@ -69,10 +134,63 @@
 	return nil
 }
 
-// repeatedSubmission returns the response to a submission with the ID of a known job.
-func repeatedSubmission(id, owner, organisation string) pimrpc.Response {
-	if owner != organisation {
-		return pimrpc.Rejected{Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + id}
+// repeatedSubmission returns the response to a submission with the ID of a known job. Its owner may repeat it after the
+// queue became public, or began to require a key.
+func (c *Control) repeatedSubmission(request pimrpc.Submit) pimrpc.Response {
+	job := c.state.Job(request.Submission.ID)
+	queue, _ := c.state.Config().FindQueue(request.Host, request.Path)
+	if job == nil || queue == nil {
+		return pimrpc.OutcomeUnknown{}
+	}
+	caller := ""
+	if owner := pimorganisation.FindByKey(c.state.Config().Organisations, request.Key); owner != nil {
+		caller = owner.Name
+	}
+	isSameQueue := queue.Host == job.Queue.Host && queue.Prefix == job.Queue.Prefix
+	switch {
+	case job.Organisation != "" && caller == job.Organisation, job.Organisation == "" && (isSameQueue || !queue.RequiresKey):
+		return pimrpc.Done{}
+	case queue.RequiresKey && caller == "":
+		return c.reportRejection(request.Address, unknownKey(request.Address))
+	}
+	return c.rejectReusedID(request, caller)
+}
+
+// rejectReusedID returns the rejection of an organisation's job with the ID of a job that another owner submitted.
+func (c *Control) rejectReusedID(request pimrpc.Submit, organisation string) pimrpc.Response {
+	c.organisations.countRejected(organisation)
+	return c.reportRejection(request.Address, pimrpc.Rejected{
+		Code: pimcode.RequestIDReused, Detail: "another organisation has used the id " + request.Submission.ID,
+	})
+}
+
+// versionOfKeyOf returns the version of the configuration in effect, which holds the caller's key, or 0 for a job
+// without an organisation.
+func (c *Control) versionOfKeyOf(organisation string) int64 {
+	if organisation == "" {
+		return 0
+	}
+	return c.state.Config().Version
+}
+
+// respondIfEnded returns a responder for a cancellation. A cancellation whose key must be checked again had no effect;
+// OutcomeUnknown makes the forwarder repeat it.
+func (c *Control) respondIfEnded(id string, respond responder) responder {
+	return func(response pimrpc.Response) {
+		if _, done := response.(pimrpc.Done); done {
+			if job := c.state.Job(id); job == nil || !job.State.IsEnded() {
+				response = pimrpc.OutcomeUnknown{}
+			}
+		}
+		respond(response)
+	}
+}
+
+// submissionResponse returns the response to a committed submission. OutcomeUnknown makes the forwarder repeat one that
+// had no effect.
+func (c *Control) submissionResponse(id, organisation string) pimrpc.Response {
+	if job := c.state.Job(id); job == nil || job.Organisation != organisation {
+		return pimrpc.OutcomeUnknown{}
 	}
 	return pimrpc.Done{}
 }
--- a/internal/job/pimcontrol/admission.go
+++ b/internal/job/pimcontrol/admission.go
@@ -24,8 +24,8 @@
 // be admitted meanwhile, OutcomeUnknown makes the forwarder repeat the request.
 func (c *Control) rejectSubmission(request pimrpc.Submit, organisation string) pimrpc.Response {
 	id := request.Submission.ID
-	if job := c.state.Job(id); job != nil {
-		return repeatedSubmission(id, job.Organisation, organisation)
+	if c.state.Job(id) != nil {
+		return c.repeatedSubmission(request)
 	}
 	queue, _ := c.state.Config().FindQueue(request.Host, request.Path)
 	if queue == nil {
@@ -39,6 +39,7 @@
 		return pimrpc.OutcomeUnknown{}
 	}
 	c.metrics.Add("organisation-rejected", 1)
+	c.organisations.countRejected(organisation)
 	c.logger.Info().Str("job", id).Str("queue", queue.Name).Str("organisation", organisation).
 		Int64("version", c.state.Config().Version).Int64("work-core-millis", admission.WorkCoreMillis).
 		Int64("millicores", admission.Millicores).Dur("predicted", admission.Predicted).Dur("limit", admission.Limit).
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -102,6 +102,7 @@
 		c.logger.Warn().Uint64("term", c.leadership.term).Msg("lost the leadership of the job group")
 		c.leadership.abandon()
 		c.leadership = nil
+		c.organisations.stop()
 	}
 	if isLeader && c.leadership == nil {
 		c.leadership = &leadership{
@@ -167,6 +168,7 @@
 	c.plan(ctx)
 	c.saveLearned()
 	c.reportFairness()
+	c.organisations.update(c.state, func(worker string) bool { return l.fleet.IsUsable(worker, c.now) }, c.now)
 	c.propose()
 	c.adjustMembers()
 }
@@ -335,8 +337,9 @@
 	}
 	batch.respond(pimrpc.Done{})
 	for _, id := range batch.jobIDs {
+		response := c.submissionResponse(id, l.submitting[id].organisation)
 		for _, respond := range l.submitting[id].responders {
-			respond(pimrpc.Done{})
+			respond(response)
 		}
 		delete(l.submitting, id)
 	}
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -118,22 +118,26 @@
 	l := c.leadership
 	id := request.Submission.ID
 	queue, rest := c.state.Config().FindQueue(request.Host, request.Path)
-	if queue == nil || rest != id {
+	if queue == nil {
 		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownQueue(request.Host, request.Path) })
 		return
 	}
+	if rest != id {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectPathBelowQueue(request) })
+		return
+	}
+	if c.state.Job(id) != nil {
+		l.enqueueRead(c, respond, func() pimrpc.Response { return c.repeatedSubmission(request) })
+		return
+	}
 	organisation, ok := c.state.Config().Authorize(queue, request.Key)
 	if !ok {
 		l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectUnknownKey(request.Address) })
 		return
 	}
-	if job := c.state.Job(id); job != nil {
-		l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, job.Organisation, organisation) })
-		return
-	}
 	if earlier, ok := l.submitting[id]; ok {
 		if earlier.organisation != organisation {
-			l.enqueueRead(c, respond, func() pimrpc.Response { return repeatedSubmission(id, earlier.organisation, organisation) })
+			l.enqueueRead(c, respond, func() pimrpc.Response { return c.rejectReusedID(request, organisation) })
 			return
 		}
 		earlier.responders = append(earlier.responders, respond)
@@ -144,10 +148,10 @@
 		return
 	}
 	l.submitting[id] = &submission{organisation: organisation, responders: []responder{respond}}
-	l.pending.ops = append(l.pending.ops,
-		pimjob.Submit{
-			Submission: request.Submission, Queue: *queue, Organisation: organisation, RateWindow: c.settings.RateWindow,
-		})
+	l.pending.ops = append(l.pending.ops, pimjob.Submit{
+		Submission: request.Submission, Queue: *queue, Organisation: organisation,
+		AuthorizedBy: c.versionOfKeyOf(organisation), RateWindow: c.settings.RateWindow,
+	})
 	l.pending.jobIDs = append(l.pending.jobIDs, id)
 	c.metrics.Add("submitted", 1)
 	c.logger.Debug().Str("job", id).Str("queue", queue.Name).Str("organisation", organisation).
@@ -167,6 +171,22 @@
 	return pimrpc.Rejected{Code: pimcode.QueueUnknown, Detail: "no queue at " + host + path}
 }
 
+// rejectPathBelowQueue returns the response to a submission whose path goes on between the prefix of its queue and its
+// ID. No repetition helps until a configuration changes the queues.
+func (c *Control) rejectPathBelowQueue(request pimrpc.Submit) pimrpc.Response {
+	queue, rest := c.state.Config().FindQueue(request.Host, request.Path)
+	switch {
+	case queue == nil:
+		return c.rejectUnknownQueue(request.Host, request.Path)
+	case rest == request.Submission.ID:
+		return pimrpc.OutcomeUnknown{}
+	default:
+		return pimrpc.Rejected{
+			Code: pimcode.QueueUnknown, Detail: "the path of a job must be the prefix " + queue.Prefix + " and the id",
+		}
+	}
+}
+
 func (c *Control) lookup(request pimrpc.Lookup) pimrpc.Response {
 	queue, id := c.findTarget(request.Address)
 	if job := c.state.Job(id); job != nil {
@@ -187,12 +207,20 @@
 	return pimrpc.Rejected{Code: pimcode.JobUnknown, Detail: "no job " + id}
 }
 
-// findTarget returns the queue and the job ID of an address. A job may outlive its queue in the configuration; its
-// path ends with its ID.
+// findTarget returns the queue and the job ID of an address. A job may outlive its queue in the configuration, also where
+// the address then belongs to a queue with a shorter prefix; its path ends with its ID.
 func (c *Control) findTarget(address pimrpc.Address) (*pimjob.Queue, string) {
 	queue, id := c.state.Config().FindQueue(address.Host, address.Path)
-	if queue == nil && len(address.Path) >= jobIDLength {
-		id = address.Path[len(address.Path)-jobIDLength:]
+	if len(address.Path) < jobIDLength {
+		return queue, id
+	}
+	last := address.Path[len(address.Path)-jobIDLength:]
+	if queue == nil {
+		return nil, last
+	}
+	job := c.state.Job(last)
+	if job != nil && job.Queue.Host == address.Host && job.Queue.Prefix+last == address.Path {
+		return queue, last
 	}
 	return queue, id
 }
@@ -211,8 +239,14 @@
 			return pimrpc.OutcomeUnknown{}
 		})
 	case submitting || (job != nil && !job.State.IsEnded()):
+		organisation := ""
+		if job != nil {
+			organisation = job.Organisation
+		} else {
+			organisation = l.submitting[id].organisation
+		}
 		c.logger.Info().Str("job", id).Msg("cancellation of a job is proposed")
-		l.enqueueWrite(respond, pimjob.Cancel{ID: id})
+		l.enqueueWrite(c.respondIfEnded(id, respond), pimjob.Cancel{ID: id, AuthorizedBy: c.versionOfKeyOf(organisation)})
 	default:
 		l.enqueueRead(c, respond, func() pimrpc.Response {
 			if c.state.Job(id) != nil {
@@ -283,7 +317,11 @@
 		c.leadership.enqueueRead(c, respond, func() pimrpc.Response { return pimrpc.Done{} })
 		return
 	}
+	current := c.state.Config().Organisations
 	c.logger.Info().Int64("version", request.Config.Version).Int("queues", len(request.Config.Queues)).
+		Int("organisations", len(request.Config.Organisations)).
+		Strs("keys-added", digestsOfNewKeys(current, request.Config.Organisations)).
+		Strs("keys-revoked", digestsOfNewKeys(request.Config.Organisations, current)).
 		Msg("configuration is proposed")
 	c.leadership.enqueueWrite(respond, pimjob.PutConfig{Config: request.Config})
 }
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -41,6 +41,9 @@
 		NextCleanupAt int64 `msgpack:"f"`
 	}
 
+	// Waiting counts jobs that have not started, and those of them whose first task the quota does not admit.
+	Waiting struct{ Jobs, ForQuota int }
+
 	// Change is an effect of an operation on the state.
 	Change interface{ isChange() }
 
@@ -219,6 +222,32 @@
 // Usage returns what the live runs of an organisation request, best-effort tasks included.
 func (s *State) Usage(organisation string) pimorganisation.Resources { return s.usage[organisation] }
 
+// Usages returns, by organisation, what its live runs request. The map must not be modified.
+func (s *State) Usages() map[string]pimorganisation.Resources { return s.usage }
+
+// WaitingJobs counts, by organisation, the jobs that have not started.
+func (s *State) WaitingJobs() map[string]Waiting {
+	waiting := map[string]Waiting{}
+	for _, job := range s.openJobs {
+		if job.Started || job.Organisation == "" || len(job.Submission.Steps) == 0 {
+			continue
+		}
+		count := waiting[job.Organisation]
+		count.Jobs++
+		step := &job.Submission.Steps[0]
+		together := 1
+		if step.Gang {
+			together = step.Count
+		}
+		owner := s.Organisation(job)
+		if owner != nil && !owner.Admits(s.usage[job.Organisation], step.Need.Amounts(), together) {
+			count.ForQuota++
+		}
+		waiting[job.Organisation] = count
+	}
+	return waiting
+}
+
 // Organisation returns the owner of a job, or nil if it has none or the configuration in effect does not hold it.
 func (s *State) Organisation(job *Job) *pimorganisation.Organisation {
 	if job.Organisation == "" {
--- a/internal/job/pimplan/shares.go
+++ b/internal/job/pimplan/shares.go
@@ -200,7 +200,7 @@
 		for _, waiting := range jobs {
 			if slices.ContainsFunc(waiting.candidates, func(c candidate) bool {
 				need := c.job.Submission.Steps[c.key.step].Need.Amounts()
-				return organisation == nil || organisation.Admits(p.state.Usage(name), need)
+				return organisation == nil || organisation.Admits(p.state.Usage(name), need, 1)
 			}) {
 				shares.Add(p.accountOf(name))
 				break
