Check a configuration of the platform before it is sent

Cause: operators learn of a spelling mistake, a prefix that accepts no job, a confused unit in a quota or an old version only from what the daemons do with the configuration.

An error with a method ExitStatus now gives the exit status of the program. Result codes 1701 to 1711.

--- a/internal/base/pimcode/codes.go
+++ b/internal/base/pimcode/codes.go
@@ -30,7 +30,7 @@
 )
 
 // Result codes by area: 10xx client requests, 11xx routing, 12xx journal, 13xx manifests and marks, 14xx placement and
-// jobs, 15xx state and membership, 16xx settings and the process.
+// jobs, 15xx state and membership, 16xx settings and the process, 17xx findings of the check of a configuration.
 const (
 	OK Code = 0
 
@@ -86,6 +86,17 @@
 	AddressInUse         Code = 1602
 	ProgramFailed        Code = 1603
 	PromiseBroken        Code = 1604
+	VersionNotHigher     Code = 1701
+	ComparisonUnreadable Code = 1702
+	FieldUnknown         Code = 1703
+	EntryAmbiguous       Code = 1704
+	QueueUnreachable     Code = 1705
+	ServiceUnused        Code = 1706
+	OrganisationUnused   Code = 1707
+	LimitContradictory   Code = 1708
+	QuotaUnusable        Code = 1709
+	WeightZero           Code = 1710
+	ConfigDifference     Code = 1711
 )
 
 var table = []Row{
@@ -141,6 +152,17 @@
 	{AddressInUse, "address-in-use", 500, "The address can't be listened on.", "Stop the other process, or give another address."},
 	{ProgramFailed, "program-failed", 500, "The program could not continue.", "See the text."},
 	{PromiseBroken, "promise-broken", 500, "A run broke a promise; the summary names it.", "File the summary and the seed as an issue."},
+	{VersionNotHigher, "version-not-higher", 422, "The version of the configuration is not higher than the one in force.", "Give a higher version."},
+	{ComparisonUnreadable, "comparison-unreadable", 422, "The configuration to compare with can't be read or is invalid.", "Check the address or the file that the text names, or check without a comparison."},
+	{FieldUnknown, "field-unknown", 200, "The daemons ignore a field of the configuration.", "Correct its name or remove it."},
+	{EntryAmbiguous, "entry-ambiguous", 200, "An entry of the configuration can't be told from another by its name.", "Give each entry a name of its own."},
+	{QueueUnreachable, "queue-unreachable", 200, "No call can submit a job to the queue.", "Correct the host, the prefix or the keys that the text names."},
+	{ServiceUnused, "service-unused", 200, "No queue names the service.", "Add a queue or remove the service."},
+	{OrganisationUnused, "organisation-unused", 200, "No job can belong to the organisation.", "Give it a key, and let a queue require keys."},
+	{LimitContradictory, "limit-contradictory", 200, "A limit of a queue can't be met or is replaced by another.", "Correct the limit that the text names."},
+	{QuotaUnusable, "quota-unusable", 200, "A quota is smaller than a usual task, or one of its amounts prevents the use of another.", "Check the units: thousandths of a core, and MB."},
+	{WeightZero, "weight-zero", 200, "An organisation has weight 0.", "Give it a weight of at least 1 if its jobs need a service guarantee."},
+	{ConfigDifference, "config-difference", 200, "An entry differs from the configuration in force.", "Read the effect and decide whether it is meant."},
 }
 
 // Table returns all rows in the order of their codes.
--- a/internal/entry/pimcommand/main.go
+++ b/internal/entry/pimcommand/main.go
@@ -62,7 +62,8 @@
 }
 
 // Main runs the program and returns its exit status: 0 for success, 2 for an invalid setting or command line, 1 for any
-// other failure. Platform adapters add their commands through extra.
+// other failure. Platform adapters add their commands through extra. An error with a method ExitStatus gives the status
+// itself and is not printed.
 func Main(args []string, out, errOut io.Writer, extra ...*cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -90,6 +91,10 @@
 // reportError prints an error and returns its exit status. Errors without a result code come from cobra's parsing of
 // the command line.
 func reportError(errOut io.Writer, err error) int {
+	var status interface{ ExitStatus() int }
+	if errors.As(err, &status) {
+		return status.ExitStatus()
+	}
 	var coded *pimcode.Error
 	if !errors.As(err, &coded) {
 		fmt.Fprintf(errOut, "pimentoswitch: %d %s: %v\n", pimcode.SettingInvalid, pimcode.SettingInvalid, err)
