Make calls to workers through other control daemons beyond the descriptor budget

Cause: the leader opens up to six connections to each worker. At 1,000 workers its 4,096 descriptors are in use.

Change: the package pimrelay assigns workers to control daemons, keeps the state of each relay and decides whether relays are used. Control daemons make calls for the leader on WorkerCall and return WorkerResult. Connections to workers are counted and kept within a budget from RLIMIT_NOFILE and limits.max-fds; a dial beyond it fails as not sent.

--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 
 FUZZ_TIME ?= 30s
 fuzz:
-	@for package in ./platform/pimadapter ./internal/job/pimjob ./internal/member/pimpeer ./internal/state/pimlog; do \
+	@for package in ./platform/pimadapter ./internal/job/pimjob ./internal/job/pimrelay ./internal/member/pimpeer ./internal/state/pimlog; do \
 		for name in $$($(GO) test -list '^Fuzz' $$package | grep ^Fuzz); do \
 			$(GO) test $$package -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; \
 		done; \
--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -42,6 +42,12 @@
 		// ToleratedFailures is how many voters may fail at the same time.
 		ToleratedFailures int
 		Fleet             pimfleet.Policy
+		// Domain is the failure domain of this daemon.
+		Domain string
+		// MaxDescriptors is how many file descriptors the process may have open; 0 means no limit.
+		MaxDescriptors int
+		// ServedConnections returns how many connections the daemon serves; nil means none.
+		ServedConnections func() int
 		// OpenFile opens segments of the log; nil means pimlog.OpenSegment.
 		OpenFile pimlog.OpenFile
 	}
@@ -71,6 +77,7 @@
 		commands  pond.Pool
 		renewals  pond.Pool
 		disk      *disk
+		relaying  relaying
 
 		replica *pimconsensus.Replica
 		state   *pimjob.State
@@ -119,12 +126,15 @@
 )
 
 func (peerEvent) isEvent()      {}
+func (relayedEvent) isEvent()   {}
 func (persistedEvent) isEvent() {}
 func (resultEvent) isEvent()    {}
 func (stepDownEvent) isEvent()  {}
 
 const (
-	eventQueueSize = 4096
+	// eventQueueSize has space for the results of the renewals of 3,000 workers that arrive at once, and for as many
+	// results of commands.
+	eventQueueSize = 8192
 	// maxPeerBytes is the size of the messages of other daemons that may wait to be handled.
 	maxPeerBytes = 16 << 20
 	// maxEventsPerTick limits how many queued events are handled before their output is sent.
@@ -132,8 +142,10 @@
 	// maxCommands limits the concurrent calls to workers, renewals not included.
 	maxCommands = 96
 	// maxRenewals limits the concurrent renewals. They are long polls: each occupies its goroutine
-	// until a run ends on its worker.
-	maxRenewals = 1024
+	// until a run ends on its worker. Goroutines are started as needed, so a deployment with few workers has few. The
+	// limit is above the number of workers that a daemon can call within 4,096 descriptors, and above 3,000, the largest
+	// deployment that is planned for, where the descriptors suffice for direct calls.
+	maxRenewals = 4096
 	// callQueueSize limits the calls that wait for a goroutine, for commands and renewals each.
 	callQueueSize = 8192
 	// joinInterval is the time between requests to join the group.
@@ -158,6 +170,7 @@
 		commands: pond.NewPool(maxCommands, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
 		renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
 	}
+	c.relaying.context, c.relaying.end = context.WithCancel(context.Background())
 	return c, c.open()
 }
 
@@ -230,6 +243,12 @@
 	case pimmessage.LeaderReply:
 		c.forwarder.OnLeaderReply(message)
 		return
+	case pimmessage.WorkerCall:
+		c.onWorkerCall(from, message)
+		return
+	case pimmessage.WorkerResult:
+		c.onWorkerResult(from, message)
+		return
 	}
 	size := int64(pimmessage.SizeOf(message))
 	if queued := c.peerBytes.Add(size); queued > size && queued > maxPeerBytes {
@@ -257,6 +276,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	defer c.commands.Stop()
 	defer c.renewals.Stop()
+	defer c.relaying.end()
 	for {
 		err := c.runWithDisk(ctx)
 		if ctx.Err() != nil {
@@ -298,11 +318,14 @@
 		case <-timer.C:
 			return true
 		case e := <-c.events:
-			if peer, ok := e.(peerEvent); ok {
-				c.peerBytes.Add(-int64(pimmessage.SizeOf(peer.message)))
-				if request, ok := peer.message.(pimmessage.CallRequest); ok {
-					c.respondTo(peer.from, request.ID)(pimrpc.NotLeader{})
+			switch e := e.(type) {
+			case peerEvent:
+				c.peerBytes.Add(-int64(pimmessage.SizeOf(e.message)))
+				if request, ok := e.message.(pimmessage.CallRequest); ok {
+					c.respondTo(e.from, request.ID)(pimrpc.NotLeader{})
 				}
+			case relayedEvent:
+				c.onRelayed(e)
 			}
 		}
 	}
@@ -360,6 +383,8 @@
 		return c.onPersisted(e)
 	case resultEvent:
 		c.onResult(e)
+	case relayedEvent:
+		c.onRelayed(e)
 	case stepDownEvent:
 		c.steppingDown = true
 	}
@@ -373,6 +398,7 @@
 		c.metrics.Add("late-results", 1)
 		return
 	}
+	c.leadership.relays.Observe(e.result, c.now)
 	c.leadership.fleet.OnResult(e.result, c.now)
 }
 
@@ -388,6 +414,9 @@
 			c.logger.Error().Err(err).Str("from", e.from).Msg("consensus message from a peer cannot be decoded")
 			return
 		}
+		if c.leadership != nil && c.leadership.ready {
+			c.leadership.relays.OnContact(e.from, c.now)
+		}
 		c.replica.Step(c.now, e.from, decoded)
 	case pimmessage.LeaderQuery:
 		c.onLeaderQuery(e.from, message)
@@ -406,6 +435,7 @@
 	if c.now >= c.replica.NextTick() {
 		c.replica.Tick(c.now)
 	}
+	c.relaying.advanceTerm(c.replica.Term())
 	c.requestToJoin()
 	c.flush()
 	c.updateLeadership()
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -8,6 +8,7 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimplan"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrelay"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
 )
@@ -21,6 +22,9 @@
 		ready   bool
 		fleet   *pimfleet.Fleet
 		planner *pimplan.Planner
+		// relays is nil until ready is set.
+		relays       *pimrelay.Relays
+		nextRelaysAt time.Duration
 
 		// pending is the next entry to propose.
 		pending proposal
@@ -149,6 +153,7 @@
 		l.ready = true
 		l.fleet = pimfleet.NewFleet(c.settings.Fleet, l.term, c.state, c.now)
 		l.planner = pimplan.NewPlanner(c.state, l.fleet)
+		l.relays = pimrelay.NewRelays(pimrelay.Daemon{ID: c.id, Domain: c.settings.Domain}, c.now)
 		l.nextLearnedAt = c.now + learnedInterval
 		l.dirty = true
 		c.updateForwarder()
@@ -156,6 +161,7 @@
 			Int("workers", len(c.state.Workers())).Msg("leadership of the job group is confirmed")
 	}
 	c.answerReads()
+	c.tickRelays()
 	l.fleet.Tick(c.now)
 	c.applyFleetOutput(ctx)
 	c.plan(ctx)
@@ -168,7 +174,7 @@
 	if !l.ready {
 		return c.now + planInterval
 	}
-	next := min(l.fleet.Next(), l.nextMembersAt)
+	next := min(l.fleet.Next(), l.nextMembersAt, l.relays.Next())
 	if !l.planPending {
 		if l.dirty {
 			next = min(next, l.nextPlanAt)
@@ -201,19 +207,14 @@
 	}
 }
 
-// call makes a call to a worker. The call is not sent once another leader may have been elected,
-// which may send commands of its own.
+// call makes a call to a worker, itself or through a relay. The call is not sent once another leader may have been
+// elected, which may send commands of its own.
 func (c *Control) call(ctx context.Context, call pimfleet.Call) {
-	pool := c.commands
-	if _, ok := call.(pimfleet.RenewLease); ok {
-		pool = c.renewals
-	}
 	term, validUntil := c.leadership.term, c.replica.QuorumAckedAt(c.now)+commandValidity
-	_, accepted := pool.TrySubmit(func() {
-		result := pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
-		if pimclock.Now() < validUntil {
-			result = c.workers.Call(ctx, call)
-		}
+	if c.callThroughRelay(call, validUntil) {
+		return
+	}
+	accepted := c.callWorker(ctx, call, func() bool { return pimclock.Now() < validUntil }, func(result pimfleet.Result) {
 		select {
 		case c.events <- resultEvent{term, result}:
 		case <-ctx.Done():
@@ -225,6 +226,25 @@
 	}
 }
 
+// callWorker makes a call in the background, unless it is no longer valid by then, and passes its result on. It returns
+// false if there is no space for the call.
+func (c *Control) callWorker(
+	ctx context.Context, call pimfleet.Call, isValid func() bool, onResult func(result pimfleet.Result),
+) bool {
+	pool := c.commands
+	if _, ok := call.(pimfleet.RenewLease); ok {
+		pool = c.renewals
+	}
+	_, accepted := pool.TrySubmit(func() {
+		result := pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
+		if isValid() {
+			result = c.workers.Call(ctx, call)
+		}
+		onResult(result)
+	})
+	return accepted
+}
+
 // commandValidity is how long a command may still be sent after the newest request that a majority of
 // the voters answered was sent to them. No other leader can be elected before
 // pimconsensus.ElectionTimeout has passed, which is longer.
--- a/internal/job/pimfleet/simulation_test.go
+++ b/internal/job/pimfleet/simulation_test.go
@@ -24,10 +24,12 @@
 		// lastNumber holds the highest number of a run that ended or was stopped, by task.
 		lastNumber map[pimjob.TaskKey]int
 		// finished holds the ended runs that are not acknowledged.
-		finished      []pimfleet.EndedRun
-		sequence      int64
-		down          bool
-		partitioned   bool
+		finished    []pimfleet.EndedRun
+		sequence    int64
+		down        bool
+		partitioned bool
+		// disturbedAt is when the worker was last down, partitioned or restarted.
+		disturbedAt   time.Duration
 		neverFinishes bool
 	}
 
@@ -51,11 +53,14 @@
 	// simulation runs fleets against fake workers over a lossy network, and checks on the workers
 	// that no run is duplicated and no end is lost.
 	simulation struct {
-		t       *testing.T
-		random  *rand.Rand
-		now     time.Duration
-		state   *pimjob.State
-		fleet   *pimfleet.Fleet
+		t      *testing.T
+		random *rand.Rand
+		now    time.Duration
+		state  *pimjob.State
+		policy pimfleet.Policy
+		fleet  *pimfleet.Fleet
+		// relays is nil if the leader makes all calls itself.
+		relays  *relayNetwork
 		term    uint64
 		workers map[string]*fakeWorker
 		queue   []delivery
@@ -89,7 +94,7 @@
 func newSimulation(t *testing.T, seed uint64, workers ...string) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), state: pimjob.NewState(), now: time.Second,
-		workers: map[string]*fakeWorker{}, done: map[pimjob.TaskKey]bool{},
+		workers: map[string]*fakeWorker{}, done: map[pimjob.TaskKey]bool{}, policy: policy,
 	}
 	var ops []pimjob.Op
 	for _, id := range workers {
@@ -116,7 +121,10 @@
 // elect replaces the fleet by that of a new leader, which starts from the current state.
 func (s *simulation) elect() {
 	s.term++
-	s.fleet = pimfleet.NewFleet(policy, s.term, s.state, s.now)
+	s.fleet = pimfleet.NewFleet(s.policy, s.term, s.state, s.now)
+	if s.relays != nil {
+		s.relays.elect(s)
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		worker := s.workers[id]
 		s.fleet.OnHeartbeat(id, worker.generation, worker.clock(s.now), s.now)
@@ -172,6 +180,9 @@
 			s.workers[id].advance(s, s.now)
 		}
 		s.deliver()
+		if s.relays != nil {
+			s.relays.advance(s)
+		}
 		s.fleet.Tick(s.now)
 		if s.now%heartbeatInterval < tick {
 			s.heartbeat()
@@ -185,6 +196,7 @@
 // their connections break.
 func (s *simulation) restart(worker *fakeWorker) {
 	worker.reset(worker.generation+1, s.now)
+	worker.disturbedAt = s.now
 	for i, d := range s.queue {
 		call := d.call
 		if d.result != nil {
@@ -231,6 +243,9 @@
 // send puts a call on its way, with a random fault. The fleet gets an unknown outcome after 500 ms for
 // a call whose result is lost.
 func (s *simulation) send(call pimfleet.Call) {
+	if s.relays != nil && s.relays.send(s, call) {
+		return
+	}
 	d := delivery{at: s.now + networkDelay, call: call, fleet: s.fleet}
 	switch chance := s.random.Float64(); {
 	case chance < s.lostShare:
@@ -266,21 +281,14 @@
 		s.queue = slices.Delete(s.queue, at, at+1)
 		if d.result != nil {
 			if d.fleet == s.fleet {
+				if s.relays != nil {
+					s.relays.relays.Observe(*d.result, s.now)
+				}
 				s.fleet.OnResult(*d.result, s.now)
 			}
 			continue
 		}
-		worker := s.workers[pimfleet.TargetOf(d.call).ID]
-		result := pimfleet.Result{Call: d.call}
-		back := s.now + networkDelay
-		switch {
-		case worker.down || worker.partitioned:
-			back = s.now + 500*time.Millisecond
-		case worker.generation != pimfleet.TargetOf(d.call).Generation && !s.ignoreGeneration:
-			result.Outcome = pimfleet.OutcomeOtherGeneration
-		default:
-			result = worker.handle(s, d.call)
-		}
+		result, back := s.execute(d.call)
 		if s.random.Float64() < s.slowShare {
 			back += time.Duration(s.random.Int64N(int64(400 * time.Millisecond)))
 		}
@@ -290,6 +298,18 @@
 	}
 }
 
+// execute makes a call to a worker and returns its result and the time at which the caller has it.
+func (s *simulation) execute(call pimfleet.Call) (pimfleet.Result, time.Duration) {
+	worker := s.workers[pimfleet.TargetOf(call).ID]
+	switch {
+	case worker.down || worker.partitioned:
+		return pimfleet.Result{Call: call}, s.now + 500*time.Millisecond
+	case worker.generation != pimfleet.TargetOf(call).Generation && !s.ignoreGeneration:
+		return pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeOtherGeneration}, s.now + networkDelay
+	}
+	return worker.handle(s, call), s.now + networkDelay
+}
+
 // handle executes a call as a real worker does.
 func (f *fakeWorker) handle(s *simulation, call pimfleet.Call) pimfleet.Result {
 	result := pimfleet.Result{
@@ -380,6 +400,9 @@
 
 // advance ends the runs that are done or whose lease has expired.
 func (f *fakeWorker) advance(s *simulation, now time.Duration) {
+	if f.down || f.partitioned {
+		f.disturbedAt = now
+	}
 	if f.down {
 		return
 	}
@@ -387,6 +410,9 @@
 		run := f.runs[key]
 		switch {
 		case f.clock(now) > f.leaseDeadline:
+			if s.relays != nil {
+				s.relays.checkExpiry(s, f)
+			}
 			f.end(key, pimjob.EndLeaseExpired)
 		case f.neverFinishes:
 		case now >= run.doneAt && run.fails:
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -86,6 +86,24 @@
 		ConfirmedLeader bool     `msgpack:"g,omitempty"`
 	}
 
+	// WorkerCall asks a control daemon to make a call to a worker on behalf of the leader of the job group in Term, unless
+	// Validity has passed since it was received. ID is unique in the term. Body is a call, encoded by pimrelay.
+	WorkerCall struct {
+		Term     uint64        `msgpack:"t"`
+		ID       uint64        `msgpack:"i"`
+		Validity time.Duration `msgpack:"v"`
+		Body     []byte        `msgpack:"b"`
+	}
+
+	// WorkerResult answers the WorkerCall with the same Term and ID. Domain is the failure domain of the sender. Body is
+	// the result, encoded by pimrelay.
+	WorkerResult struct {
+		Term   uint64 `msgpack:"t"`
+		ID     uint64 `msgpack:"i"`
+		Domain string `msgpack:"d,omitempty"`
+		Body   []byte `msgpack:"b"`
+	}
+
 	// CreditLedgerQuery is sent by a new leader of a domain group, to rebuild its credit
 	// ledger. The receiver reports the credits that it holds, and from then on ignores
 	// grants of earlier terms.
@@ -213,6 +231,8 @@
 func (CallReply) isPeer()         {}
 func (LeaderQuery) isPeer()       {}
 func (LeaderReply) isPeer()       {}
+func (WorkerCall) isPeer()        {}
+func (WorkerResult) isPeer()      {}
 func (CreditLedgerQuery) isPeer() {}
 func (CreditLedgerReply) isPeer() {}
 
@@ -246,6 +266,8 @@
 	{Name: "reply", Zero: CallReply{}},
 	{Name: "hello", Zero: LeaderQuery{}},
 	{Name: "directory", Zero: LeaderReply{}},
+	{Name: "worker-call", Zero: WorkerCall{}},
+	{Name: "worker-result", Zero: WorkerResult{}},
 	{Name: "ledger-query", Zero: CreditLedgerQuery{}},
 	{Name: "ledger-reply", Zero: CreditLedgerReply{}},
 
@@ -292,6 +314,10 @@
 		return len(message.Body)
 	case CallReply:
 		return len(message.Body)
+	case WorkerCall:
+		return len(message.Body)
+	case WorkerResult:
+		return len(message.Body)
 	}
 	return 0
 }
--- a/internal/member/pimpeer/fuzz_test.go
+++ b/internal/member/pimpeer/fuzz_test.go
@@ -17,6 +17,8 @@
 		pimmessage.CallRequest{ID: 1, Body: []byte("x")},
 		pimmessage.LeaderReply{Leader: "a"},
 		pimmessage.Gossip{},
+		pimmessage.WorkerCall{Term: 3, ID: 1, Validity: 1, Body: []byte("x")},
+		pimmessage.WorkerResult{Term: 3, ID: 1, Domain: "z", Body: []byte("x")},
 	} {
 		body, _ := pimmessage.Encode(message)
 		frame, _ := pimpeer.EncodeFrame(pimpeer.Frame{From: "a", To: "b", Body: body})
