--- a/internal/job/pimcontrol/control_test.go
+++ b/internal/job/pimcontrol/control_test.go
@@ -39,6 +39,8 @@
 		forwarder   *pimforward.Forwarder
 		diskFull    atomic.Bool
 		partitioned atomic.Bool
+		// stop ends the daemon.
+		stop context.CancelFunc
 	}
 
 	// link sends on behalf of one member.
@@ -85,6 +87,14 @@
 }
 
 func newGroup(t *testing.T) *group {
+	t.Helper()
+	return newGroupWith(t, func(string) pimcontrol.Workers { return unreachableWorkers{} }, func(*pimcontrol.Settings) {})
+}
+
+// newGroupWith returns a group whose members call the given workers, with changed settings.
+func newGroupWith(
+	t *testing.T, workersOf func(address string) pimcontrol.Workers, change func(settings *pimcontrol.Settings),
+) *group {
 	t.Helper()
 	g := &group{t: t, members: map[string]*member{}, addresses: []string{"a:1", "b:1", "c:1"}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,7 +110,8 @@
 				return fullFile{file, m}, err
 			},
 		}
-		control, err := pimcontrol.New(settings, unreachableWorkers{}, pimmetric.NewMetrics(), logger)
+		change(&settings)
+		control, err := pimcontrol.New(settings, workersOf(address), pimmetric.NewMetrics(), logger)
 		assert.NilError(t, err)
 		m.control = control
 		m.forwarder = pimforward.NewForwarder(control.ID(), g.addresses, control, logger)
@@ -108,9 +119,10 @@
 		g.members[address] = m
 	}
 	for _, address := range g.addresses {
-		ends = append(ends,
-			pimroutine.Start(ctx, g.members[address].control.Run),
-			pimroutine.Start(ctx, g.members[address].forwarder.Run))
+		m := g.members[address]
+		memberCtx, stop := context.WithCancel(ctx)
+		m.stop = stop
+		ends = append(ends, pimroutine.Start(memberCtx, m.control.Run), pimroutine.Start(memberCtx, m.forwarder.Run))
 	}
 	t.Cleanup(func() {
 		cancel()
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -235,10 +235,11 @@
 	if _, ok := call.(pimfleet.RenewLease); ok {
 		pool = c.renewals
 	}
+	workers := c.workers
 	_, accepted := pool.TrySubmit(func() {
 		result := pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
 		if isValid() {
-			result = c.workers.Call(ctx, call)
+			result = workers.Call(ctx, call)
 		}
 		onResult(result)
 	})
