--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -46,8 +46,8 @@
 		Domain string
 		// MaxDescriptors is how many file descriptors the process may have open; 0 means no limit.
 		MaxDescriptors int
-		// ServedConnections returns how many connections the daemon serves; nil means none.
-		ServedConnections func() int
+		// OpenConnections returns how many connections of callers and of other daemons are open; nil means none.
+		OpenConnections func() (served, peers int)
 		// OpenFile opens segments of the log; nil means pimlog.OpenSegment.
 		OpenFile pimlog.OpenFile
 	}
--- a/internal/job/pimcontrol/relay_test.go
+++ b/internal/job/pimcontrol/relay_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"io"
+	"runtime"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
@@ -149,3 +152,34 @@
 		transport.assertResult(t, 1, pimfleet.OutcomeNotSent)
 	})
 }
+
+// BenchmarkHeldRenewals measures the memory of the goroutines that hold renewals open, without that of the connections.
+func BenchmarkHeldRenewals(b *testing.B) {
+	for _, count := range []int{300, 1000, 3000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			for b.Loop() {
+				workers := &gatedWorkers{}
+				c := &Control{
+					workers:  workers,
+					renewals: pond.NewPool(maxRenewals, pond.WithQueueSize(callQueueSize), pond.WithNonBlocking(true)),
+				}
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				workers.gate.Lock()
+				for range count {
+					c.callWorker(b.Context(), pimfleet.RenewLease{}, func() bool { return true }, func(pimfleet.Result) {})
+				}
+				for c.renewals.RunningWorkers() < int64(count) {
+					time.Sleep(time.Millisecond)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				workers.gate.Unlock()
+				c.renewals.StopAndWait()
+				used := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+				b.ReportMetric(float64(used)/float64(count), "bytes/renewal")
+			}
+		})
+	}
+}
--- a/internal/job/pimcontrol/relaying.go
+++ b/internal/job/pimcontrol/relaying.go
@@ -203,9 +203,9 @@
 
 // workerBudget returns how many connections to workers this daemon may have open.
 func (c *Control) workerBudget() int {
-	served := 0
-	if c.settings.ServedConnections != nil {
-		served = c.settings.ServedConnections()
+	served, peers := 0, 0
+	if c.settings.OpenConnections != nil {
+		served, peers = c.settings.OpenConnections()
 	}
-	return pimrelay.ConnectionBudget(c.settings.MaxDescriptors, served)
+	return pimrelay.ConnectionBudget(c.settings.MaxDescriptors, served, peers)
 }
--- a/internal/job/pimrelay/relays_test.go
+++ b/internal/job/pimrelay/relays_test.go
@@ -36,7 +36,7 @@
 // heartbeat connection to the leader, against their lack in larger ones, and against switching back and forth.
 func TestDecision(t *testing.T) {
 	enabled := func(r *pimrelay.Relays, workers int) bool {
-		r.SetWorkers(workersOf(workers), pimrelay.ConnectionBudget(descriptors, workers))
+		r.SetWorkers(workersOf(workers), pimrelay.ConnectionBudget(descriptors, workers, 0))
 		return r.IsEnabled()
 	}
 	for workers, want := range map[int]bool{0: false, 350: false, 540: false, 1000: true, 3000: true} {
@@ -53,7 +53,7 @@
 	})
 	t.Run("without a limit", func(t *testing.T) {
 		r := pimrelay.NewRelays(pimrelay.Daemon{ID: "l"}, 0)
-		r.SetWorkers(workersOf(3000), pimrelay.ConnectionBudget(0, 3000))
+		r.SetWorkers(workersOf(3000), pimrelay.ConnectionBudget(0, 3000, 0))
 		assert.Assert(t, !r.IsEnabled())
 	})
 }
@@ -82,7 +82,7 @@
 	before, largest, local := loads(six)
 	assert.Assert(t, largest <= 551, "%d workers at one daemon", largest)
 	assert.Assert(t, local > 2700, "%d workers have a daemon in their failure domain", local)
-	budget := pimrelay.ConnectionBudget(descriptors, 3000/6)
+	budget := pimrelay.ConnectionBudget(descriptors, 3000/6, 0)
 	assert.Assert(t, largest*pimrelay.ConnectionsPerWorker(budget, largest) <= budget)
 
 	after, _, _ := loads(six[:5])
@@ -97,7 +97,7 @@
 	// One failure domain has a single daemon, which must not get all of its 1,000 workers.
 	_, largest, _ = loads(six[:4])
 	assert.Assert(t, largest <= 826, "%d workers at one daemon", largest)
-	budget = pimrelay.ConnectionBudget(descriptors, 3000/4)
+	budget = pimrelay.ConnectionBudget(descriptors, 3000/4, 0)
 	per := pimrelay.ConnectionsPerWorker(budget, largest)
 	assert.Assert(t, per >= pimrelay.MinConnectionsPerWorker && largest*per <= budget, "%d connections for each", per)
 }
@@ -311,3 +311,36 @@
 		}
 	})
 }
+
+// BenchmarkRelays measures what the leader adds for each relayed renewal, and the assignment after a relay is lost.
+func BenchmarkRelays(b *testing.B) {
+	for _, count := range []int{300, 1000, 3000} {
+		workers := workersOf(count)
+		r := pimrelay.NewRelays(daemonsOf(6)[0], 0)
+		var ids []string
+		for _, daemon := range daemonsOf(6) {
+			ids = append(ids, daemon.ID)
+		}
+		r.SetMembers(ids)
+		r.SetWorkers(workers, 1)
+		now := time.Duration(1)
+		b.Run(fmt.Sprintf("renewal/%d", count), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				now += time.Second / time.Duration(count)
+				for _, id := range ids[1:] {
+					r.OnContact(id, now)
+				}
+				call := pimfleet.RenewLease{Target: pimfleet.Target{ID: workers[i%count].ID}, Wait: time.Second}
+				if relay, id := r.Send(call, now); relay != "" {
+					r.OnResult(relay, "", id, now)
+				}
+				r.Tick(now)
+			}
+		})
+		b.Run(fmt.Sprintf("assign/%d", count), func(b *testing.B) {
+			for b.Loop() {
+				pimrelay.Assign(workers, daemonsOf(6))
+			}
+		})
+	}
+}
--- a/internal/member/pimpeer/transport.go
+++ b/internal/member/pimpeer/transport.go
@@ -38,6 +38,8 @@
 		receive  ReceiveFunc
 		logger   *log.Logger
 		counters Counters
+		// incoming is the number of open connections of other daemons.
+		incoming atomic.Int64
 
 		mutex sync.Mutex
 		peers map[string]*outgoing
@@ -93,6 +95,21 @@
 // Counters returns the transport's counters.
 func (t *Transport) Counters() *Counters { return &t.counters }
 
+// Connections returns the number of open connections to and from other daemons.
+func (t *Transport) Connections() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	open := int(t.incoming.Load())
+	for _, o := range t.peers {
+		o.mutex.Lock()
+		if o.conn != nil {
+			open++
+		}
+		o.mutex.Unlock()
+	}
+	return open
+}
+
 // Values returns the counters by the names under which daemons show them as metrics.
 func (c *Counters) Values() map[string]float64 {
 	return map[string]float64{
@@ -138,8 +155,10 @@
 			conn.Close()
 			continue
 		}
+		t.incoming.Add(1)
 		running.Go(func() {
 			t.readLoop(ctx, conn)
+			t.incoming.Add(-1)
 			<-slots
 		})
 	}
