Let a new leader know its relays from the election

Cause: a new leader used no relay before the first consensus message after its confirmation, so its first renewals of all workers were direct.

Change: contact that followed the election counts.

--- a/internal/job/pimcontrol/relaying.go
+++ b/internal/job/pimcontrol/relaying.go
@@ -181,7 +181,15 @@
 			known = append(known, pimrelay.Worker{ID: worker.ID, Domain: worker.Domain})
 		}
 		budget := c.workerBudget()
-		l.relays.SetMembers(c.replica.Members().All())
+		members := c.replica.Members().All()
+		l.relays.SetMembers(members)
+		for _, id := range members {
+			// A new leader knows from its election which members answer. Without that, its first renewals of all workers
+			// would be direct. The time of the election itself is no contact.
+			if progress, ok := c.replica.ProgressOf(id); ok && progress.LastContact > c.replica.LeaderSince() {
+				l.relays.OnContact(id, progress.LastContact)
+			}
+		}
 		l.relays.SetWorkers(known, budget)
 		if budget != math.MaxInt {
 			c.metrics.SetGauge("worker-connection-budget", float64(budget))
--- a/internal/job/pimrelay/relays.go
+++ b/internal/job/pimrelay/relays.go
@@ -165,16 +165,16 @@
 	}
 }
 
-// OnContact records a message of a relay.
-func (r *Relays) OnContact(id string, now time.Duration) {
+// OnContact records a message of a relay at a time.
+func (r *Relays) OnContact(id string, at time.Duration) {
 	relay := r.relays[id]
-	if relay == nil {
+	if relay == nil || at <= relay.contactAt {
 		return
 	}
-	if relay.contactAt == 0 || now-relay.contactAt > ContactTimeout {
-		relay.contactSince = now
+	if relay.contactAt == 0 || at-relay.contactAt > ContactTimeout {
+		relay.contactSince = at
 	}
-	relay.contactAt = now
+	relay.contactAt = at
 }
 
 // Send returns the relay through which a call is to be made and the ID of the relayed call, or an empty string if the
