Move runs off hosts that leave while it pays

The least time for which a draining worker stays was decoded and read by nobody: its runs went on until it left and all were lost. The fleet now keeps until when each draining worker stays, and the planner stops runs that can't end in that time so that they start elsewhere: checkpointing ones first, at most 4 of a host at a time, and only if another host has room. Groups move as a whole. A long-running task moves early only while more of its step than may-miss would lose their hosts together. The stops have a reason of their own, are counted by the budget and never refused.

--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -241,7 +241,7 @@
 	}
 	if known != nil && known.Generation == worker.Generation && known.Draining == worker.Draining &&
 		known.Address == worker.Address {
-		l.fleet.OnHeartbeat(worker.ID, worker.Generation, request.Clock, c.now)
+		l.fleet.OnHeartbeat(worker.ID, worker.Generation, request.Clock, request.StaysFor, c.now)
 		respond(pimrpc.Done{})
 		return
 	}
@@ -252,10 +252,10 @@
 		respond(pimrpc.Done{})
 		return
 	}
-	id, generation, clock := worker.ID, worker.Generation, request.Clock
+	id, generation, clock, staysFor := worker.ID, worker.Generation, request.Clock, request.StaysFor
 	l.enqueueWrite(func(response pimrpc.Response) {
 		if c.leadership != nil && c.leadership.fleet != nil {
-			c.leadership.fleet.OnHeartbeat(id, generation, clock, c.now)
+			c.leadership.fleet.OnHeartbeat(id, generation, clock, staysFor, c.now)
 		}
 		respond(response)
 	}, pimjob.PutWorker{Worker: worker})
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -69,6 +69,9 @@
 		proposedCursor int64
 		// unhealthyUntil is when the worker may get new runs again.
 		unhealthyUntil time.Duration
+		// staysUntil is until when a draining worker stays at least, or 0 while it has not said so. saidStaysAt is the
+		// worker's clock in the heartbeat from which it is.
+		staysUntil, saidStaysAt time.Duration
 		// nextTickAt is when Tick next has work for the worker. It is stale while dirty is set.
 		nextTickAt time.Duration
 		dirty      bool
@@ -147,8 +150,8 @@
 
 // OnHeartbeat handles a heartbeat of a worker generation that the state already holds. The first
 // one provides the worker's clock; each of them shortens the wait for the next renewal of an
-// unreachable worker.
-func (f *Fleet) OnHeartbeat(id string, generation int64, clock, now time.Duration) {
+// unreachable worker. StaysFor is the least time for which a draining worker stays, or 0 if the heartbeat doesn't say.
+func (f *Fleet) OnHeartbeat(id string, generation int64, clock, staysFor, now time.Duration) {
 	f.now = now
 	w := f.workers[id]
 	if w == nil || w.worker.Generation != generation {
@@ -159,6 +162,7 @@
 		w.setClock(clock, now)
 		f.tickWorker(w)
 	}
+	f.recordStay(w, clock, staysFor)
 	if !w.reachable && !w.renewing && w.renewAt > now+retryDelay {
 		w.renewAt = now + retryDelay
 	}
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -45,14 +45,15 @@
 		// TargetLatency is the tail latency that a serving task must stay below, or 0 for other
 		// tasks.
 		TargetLatency time.Duration `msgpack:"t,omitempty"`
-		// MayMiss and Speculative are stored but not used for planning.
+		// MayMiss is how many tasks of a long-running step may be without a run at a time.
 		MayMiss int `msgpack:"mm,omitempty"`
 		// Checkpoints means that a run continues from the last checkpoint of the one before.
 		Checkpoints bool `msgpack:"cp,omitempty"`
 		// The tasks of a gang start and end together, on one rack if SameRack is set and that is
 		// possible.
-		Gang        bool `msgpack:"gg,omitempty"`
-		SameRack    bool `msgpack:"sr,omitempty"`
+		Gang     bool `msgpack:"gg,omitempty"`
+		SameRack bool `msgpack:"sr,omitempty"`
+		// Speculative is stored but not used for planning.
 		Speculative bool `msgpack:"sp,omitempty"`
 		// LongRunning tasks run until their job is cancelled.
 		LongRunning bool `msgpack:"l,omitempty"`
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -42,6 +42,7 @@
 // about it.
 func (p *Planner) putHost(worker pimjob.Worker) {
 	p.topology = nil
+	p.leaving.setDraining(worker.ID, worker.Draining)
 	known := p.hosts[worker.ID]
 	if known != nil && known.worker.Generation == worker.Generation {
 		known.worker = worker
@@ -62,6 +63,7 @@
 
 func (p *Planner) removeHost(id string) {
 	p.topology = nil
+	p.leaving.setDraining(id, false)
 	delete(p.hosts, id)
 	p.sortHosts()
 }
--- a/internal/job/pimplan/migrate.go
+++ b/internal/job/pimplan/migrate.go
@@ -56,15 +56,24 @@
 // hasRoomElsewhere reports whether a host other than from can take the task now. Without one, a run that is stopped waits
 // among all others and its work is lost for nothing.
 func (p *Planner) hasRoomElsewhere(key pimjob.TaskKey, step *pimjob.Step, from *host) bool {
+	return p.roomElsewhere(key, step, from) != nil
+}
+
+// roomElsewhere returns the first host other than from that can take the task now, or nil.
+func (p *Planner) roomElsewhere(key pimjob.TaskKey, step *pimjob.Step, from *host) *host {
 	job := p.state.Job(key.Job)
 	c := candidate{job: job, key: stepKey{key.Job, key.Occurrence, key.Step}}
-	return slices.ContainsFunc(p.sortedHosts, func(h *host) bool {
+	at := slices.IndexFunc(p.sortedHosts, func(h *host) bool {
 		if h == from || !p.mayRunOn(job, step, h) || slices.Contains(p.unsuitableWorkers[key], h.worker.ID) {
 			return false
 		}
 		_, ok := p.score(c, step, h)
 		return ok
 	})
+	if at < 0 {
+		return nil
+	}
+	return p.sortedHosts[at]
 }
 
 // finishesSoonerElsewhere compares the remaining time of a run at its present speed with that on
--- a/internal/job/pimplan/plan_bench_test.go
+++ b/internal/job/pimplan/plan_bench_test.go
@@ -16,6 +16,7 @@
 func (idleWorkers) IsUsable(string, time.Duration) bool        { return true }
 func (idleWorkers) ObservedRuns(string) []pimfleet.ObservedRun { return nil }
 func (idleWorkers) TakeUpdatedWorkers() []string               { return nil }
+func (idleWorkers) StaysUntil(string) (time.Duration, bool)    { return 0, false }
 
 // BenchmarkPlanByHosts measures a plan with two new short jobs of ten tasks each while the serving tasks leave a tenth of each
 // host free and 200 steps find no host, by the number of hosts.
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -29,6 +29,8 @@
 		// TakeUpdatedWorkers returns the ids of the workers that reported their runs since the last
 		// call, sorted.
 		TakeUpdatedWorkers() []string
+		// StaysUntil returns until when a draining worker stays at least, and false if that is not known.
+		StaysUntil(id string) (time.Duration, bool)
 	}
 
 	// Planner makes plans during one term of leadership.
@@ -59,7 +61,8 @@
 		topology *topology
 		waits    waits
 		// shares is how scarce capacity is divided between organisations.
-		shares shareState
+		shares  shareState
+		leaving leavingState
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -152,6 +155,7 @@
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
+		leaving: newLeavingState(),
 	}
 	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
@@ -262,6 +266,8 @@
 			placements = p.place(c, unplaced, placements, &plan)
 		}
 	}
+	// Placements of this plan count as taken, so that moves use only what they leave.
+	p.moveFromLeavingHosts(now, &plan)
 	// Runs count as placed only once their starts are committed.
 	for _, placed := range placements {
 		placed.host.remove(placed.key, placed.step)
--- a/internal/job/pimplan/stops.go
+++ b/internal/job/pimplan/stops.go
@@ -15,6 +15,8 @@
 	reason    pimstop.Reason
 	here      time.Duration
 	avoidHost bool
+	// lostHere means that the run is lost after here and starts again on another host then.
+	lostHere bool
 }
 
 const (
@@ -28,13 +30,29 @@
 // stop stops a run if the budget allows it. All stops that the planner decides on pass through here.
 func (p *Planner) stop(now time.Duration, h *host, run pimfleet.ObservedRun, request stopRequest, plan *Plan) {
 	key := run.Status.Key
-	_, step, job := p.state.Task(key)
 	stop := StopRun{Worker: h.worker.ID, Key: key, Number: run.Status.Number, Reason: string(request.reason)}
-	if job.State.IsEnded() {
+	if _, _, job := p.state.Task(key); job.State.IsEnded() {
 		// The fleet stops such a run in any case, and nothing starts again.
 		plan.Stops = append(plan.Stops, stop)
 		return
 	}
+	stop.Decision = p.decisionOf(h, run, request)
+	if allowed, _ := p.stops.Allow(stop.Decision, p.usableCores(), now); !allowed {
+		return
+	}
+	if request.avoidHost {
+		p.unsuitableWorkers[key] = append(p.unsuitableWorkers[key], h.worker.ID)
+	}
+	// Several rules may find the same run.
+	if !slices.ContainsFunc(plan.Stops, func(other StopRun) bool { return other.Key == key && other.Number == stop.Number }) {
+		plan.Stops = append(plan.Stops, stop)
+	}
+}
+
+// decisionOf returns what the stop of a run costs and saves.
+func (p *Planner) decisionOf(h *host, run pimfleet.ObservedRun, request stopRequest) pimstop.Stop {
+	key := run.Status.Key
+	_, step, job := p.state.Task(key)
 	accurate := !p.estimatesAreWrong(job)
 	expected, restart := p.assumedDuration(job, key, h, 0.5), p.assumedDuration(job, key, h, restartQuantile)
 	done := float64(run.Status.ProgressPercent) / 100
@@ -44,21 +62,15 @@
 		restart = time.Duration((1 - done) * float64(restart))
 		discarded = min(discarded, migrationCost)
 	}
-	stop.Decision = pimstop.Stop{
+	decision := pimstop.Stop{
 		Key: key, Number: run.Status.Number, Reason: request.reason, Here: request.here, There: restart + migrationCost,
 		Discarded: discarded.Seconds() * float64(step.Need.Millicores) / millicoresPerCore,
 		Expected:  expected, EstimateAccurate: accurate,
 	}
-	if allowed, _ := p.stops.Allow(stop.Decision, p.usableCores(), now); !allowed {
-		return
-	}
-	if request.avoidHost {
-		p.unsuitableWorkers[key] = append(p.unsuitableWorkers[key], h.worker.ID)
-	}
-	// Several rules may find the same run.
-	if !slices.ContainsFunc(plan.Stops, func(other StopRun) bool { return other.Key == key && other.Number == stop.Number }) {
-		plan.Stops = append(plan.Stops, stop)
+	if request.lostHere {
+		decision.Here += decision.There
 	}
+	return decision
 }
 
 // usableCores returns the cores of the hosts that may get new runs.
--- a/internal/job/pimrpc/messages.go
+++ b/internal/job/pimrpc/messages.go
@@ -49,8 +49,8 @@
 		Clock time.Duration `msgpack:"c"`
 		// Sequence rises with each heartbeat of a generation. The leader does not use it.
 		Sequence int64 `msgpack:"s"`
-		// StaysFor is the minimum time for which a draining worker remains available. The leader does
-		// not use it.
+		// StaysFor is the minimum time for which a draining worker remains available, or 0 if it
+		// doesn't say.
 		StaysFor time.Duration `msgpack:"l,omitempty"`
 	}
 
--- a/internal/job/pimstop/budget.go
+++ b/internal/job/pimstop/budget.go
@@ -90,13 +90,18 @@
 	NoProgress Reason = "makes no progress"
 	HostSlow   Reason = "host is slow"
 	BetterHost Reason = "would finish sooner on another host"
+	// HostLeaving is why a run is stopped that would be lost with its host. Such stops are counted and not refused, and
+	// what they discard doesn't count against the budget, since it would be lost without the stop as well.
+	HostLeaving Reason = "host is leaving"
 )
 
 // Reasons for the refusal of a stop.
 const (
-	NoGain         Refusal = "gains too little"
-	StoppedBefore  Refusal = "was stopped within its expected duration"
-	BudgetIsSpent  Refusal = "too much work was discarded"
+	NoGain        Refusal = "gains too little"
+	StoppedBefore Refusal = "was stopped within its expected duration"
+	BudgetIsSpent Refusal = "too much work was discarded"
+	// NoRoom is decided by the planner, which knows the hosts.
+	NoRoom         Refusal = "no other host has room"
 	reportInterval         = time.Second
 )
 
@@ -123,18 +128,15 @@
 		return true, ""
 	}
 	if refusal := b.refusalOf(stop, before, stoppedBefore, cores, now); refusal != "" {
-		class := refusalClass{stop.Reason, refusal}
-		if b.refused[class] == nil {
-			b.refused[class] = &refusedClass{}
-		}
-		b.refused[class].newest = stop
-		b.refused[class].count++
+		b.Refuse(stop, refusal)
 		return false, refusal
 	}
 	if stoppedBefore {
 		b.report.NotPaidOff++
 	}
-	b.available -= stop.Discarded
+	if stop.Reason != HostLeaving {
+		b.available -= stop.Discarded
+	}
 	b.report.Discarded += stop.Discarded
 	b.stopped[stop.Key] = pastStop{
 		number: stop.Number, at: now, expected: stop.Expected, endExpected: now + stop.Here,
@@ -142,9 +144,19 @@
 	return true, ""
 }
 
+// Refuse counts a stop that is refused.
+func (b *Budget) Refuse(stop Stop, refusal Refusal) {
+	class := refusalClass{stop.Reason, refusal}
+	if b.refused[class] == nil {
+		b.refused[class] = &refusedClass{}
+	}
+	b.refused[class].newest = stop
+	b.refused[class].count++
+}
+
 func (b *Budget) refusalOf(stop Stop, before pastStop, stoppedBefore bool, cores float64, now time.Duration) Refusal {
 	switch {
-	case stop.EstimateAccurate:
+	case stop.EstimateAccurate, stop.Reason == HostLeaving:
 		return ""
 	case stoppedBefore && now-before.at < max(before.expected, stop.Expected):
 		return StoppedBefore
--- a/internal/job/pimstop/budget_test.go
+++ b/internal/job/pimstop/budget_test.go
@@ -63,6 +63,19 @@
 		stalled.Reason = pimstop.NoProgress
 		assertRefused(t, budget, stalled, time.Minute, "")
 	})
+	t.Run("a run that its leaving host would lose is stopped although nothing more may be discarded", func(t *testing.T) {
+		budget := pimstop.NewBudget()
+		large := stopOf("a", 1)
+		large.Discarded = 100
+		assertRefused(t, budget, large, 0, "")
+		leaving := stopOf("b", 1)
+		leaving.Reason, leaving.Here = pimstop.HostLeaving, leaving.There
+		assertRefused(t, budget, leaving, 0, "")
+		leaving.Number = 2
+		assertRefused(t, budget, leaving, time.Second, "")
+		assertRefused(t, budget, stopOf("b", 3), 2*time.Second, pimstop.StoppedBefore)
+		assert.Equal(t, budget.TakeReport(0).Discarded, 120.0)
+	})
 	t.Run("a stop that exceeds the whole budget is possible while it is full", func(t *testing.T) {
 		budget := pimstop.NewBudget()
 		large := stopOf("a", 1)
