Estimate the health of hosts from likelihoods, and probe hosts after a backoff

A host that fails 40 to 50% of its tasks seldom has three failing jobs in a row, since each success reset the record. pimhealth adds up how much more likely the recent ends are on a faulty host, compares each failed job with its tasks on other hosts, and derives the threshold from the rate of false alarms. A host is probed with one small task at a time after its backoff, at most a fifth of the hosts of a service are avoided at once, and the next leader gets the evidence in pimjob.Learned.

--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -267,6 +267,7 @@
 		l.fleet.Stop(stop.Worker, stop.Key, stop.Number, c.now)
 	}
 	c.reportStops(plan.StopReport)
+	c.reportHealth(plan.HealthChanges)
 	for _, reservation := range plan.Reservations {
 		c.logger.Info().Stringer("task", reservation.Key).Int("tasks", reservation.Tasks).Int("hosts", reservation.Hosts).
 			Msg("reservation of hosts for a large start is begun, or given up if there are no hosts")
--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimhealth"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimplan"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
@@ -94,3 +95,15 @@
 		c.metrics.Add("planner-discarded-core-millis", int64(report.Discarded*1000))
 	}
 }
+
+// reportHealth logs the workers that are taken for faulty or no longer are. A worker has at most one backoff in 2 s.
+func (c *Control) reportHealth(changes []pimhealth.Change) {
+	for _, change := range changes {
+		c.logger.Info().Str("worker", change.Host).Stringer("status", change.Status).Str("why", string(change.Why)).
+			Float64("evidence", change.Evidence).Float64("threshold", change.Threshold).
+			Int64("backoff-ms", change.Backoff.Milliseconds()).Msg("worker is avoided, probed or used again")
+		if change.Status == pimhealth.Avoided {
+			c.metrics.Add("workers-avoided", 1)
+		}
+	}
+}
--- a/internal/job/pimjob/learned.go
+++ b/internal/job/pimjob/learned.go
@@ -11,6 +11,25 @@
 		Cycle   LearnedCycle          `msgpack:"c"`
 		// Durations has an element for each queue with tasks that ended.
 		Durations []LearnedDurations `msgpack:"d,omitempty"`
+		Health    LearnedHealth      `msgpack:"h,omitempty"`
+	}
+
+	// LearnedHealth is which hosts are suspected to be faulty, and how many runs have ended and failed on the others, with
+	// halving weights (see pimhealth).
+	LearnedHealth struct {
+		Hosts    []LearnedHost `msgpack:"h,omitempty"`
+		Ends     float64       `msgpack:"e,omitempty"`
+		Failures float64       `msgpack:"f,omitempty"`
+	}
+
+	// LearnedHost is the evidence that a generation of a worker is faulty. Suspect means that it was avoided or probed,
+	// Doublings how often its next backoff is doubled.
+	LearnedHost struct {
+		Worker     string  `msgpack:"w"`
+		Generation int64   `msgpack:"b"`
+		Evidence   float64 `msgpack:"e"`
+		Suspect    bool    `msgpack:"s,omitempty"`
+		Doublings  int     `msgpack:"d,omitempty"`
 	}
 
 	// LearnedDurations is the distribution of the durations of a queue's tasks divided by their estimates: the weights
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -10,17 +10,18 @@
 type (
 	// host is a worker with its free capacity, its tasks and what was learned about it.
 	host struct {
-		worker   pimjob.Worker
-		failures failureRecord
-		free     pimjob.Resources
+		worker pimjob.Worker
+		free   pimjob.Resources
 		// servingMillicores, otherMillicores and bestEffortMillicores are the processor time that
 		// the serving, other and best-effort tasks on the host request, in thousandths of a core.
 		servingMillicores, otherMillicores, bestEffortMillicores int64
 		tasksByStep                                              map[stepKey]int
 		servingImages                                            map[string]int
 		// A schedulable host may get new runs. While it is backing off, it gets only those of
-		// long-running steps and starved jobs.
-		schedulable, backingOff bool
+		// long-running steps and starved jobs, and, while it is probed, one small task at a time.
+		schedulable, backingOff, probed bool
+		// probes are the tasks that were assigned to the host while it was probed.
+		probes map[pimjob.TaskKey]bool
 		// contention is the share of the free processor time near the host that tasks with a preferred label are about to
 		// use.
 		contention float64
@@ -48,6 +49,9 @@
 		known.worker = worker
 		return
 	}
+	if known != nil {
+		p.health.ForgetHost(worker.ID)
+	}
 	h := &host{worker: worker, free: worker.Capacity, tasksByStep: map[stepKey]int{}, servingImages: map[string]int{}}
 	for key, live := range p.state.RunsOn(worker.ID) {
 		if live.Run.Generation != worker.Generation {
@@ -64,6 +68,7 @@
 func (p *Planner) removeHost(id string) {
 	p.topology = nil
 	p.leaving.setDraining(id, false)
+	p.health.ForgetHost(id)
 	delete(p.hosts, id)
 	p.sortHosts()
 }
@@ -86,6 +91,7 @@
 	h.free = h.free.Minus(pimjob.Resources{
 		Millicores: sign * reserved.Millicores, MemoryMB: sign * reserved.MemoryMB, GPUs: sign * reserved.GPUs,
 	})
+	h.adjustProbes(key, sign > 0 && !step.LongRunning)
 	stepID := stepKey{key.Job, key.Occurrence, key.Step}
 	if h.tasksByStep[stepID] += int(sign); h.tasksByStep[stepID] == 0 {
 		delete(h.tasksByStep, stepID)
--- a/internal/job/pimplan/learned.go
+++ b/internal/job/pimplan/learned.go
@@ -15,11 +15,12 @@
 	maxInheritedWeight = 400.0
 )
 
-// Learned returns what the planner has learned about images and the durations of tasks.
+// Learned returns what the planner has learned about images, the durations of tasks and the health of hosts.
 func (p *Planner) Learned() pimjob.Learned {
 	model := p.interference
 	learned := pimjob.Learned{
 		Images: make([]string, len(model.imageIndexes)), Cycle: model.cycles.learned(), Durations: p.durations.Summary(),
+		Health: p.health.Summary(p.generationOf),
 	}
 	for image, index := range model.imageIndexes {
 		learned.Images[index] = image
@@ -50,6 +51,7 @@
 	}
 	p.interference.cycles.inherit(learned.Cycle)
 	p.durations.Restore(learned.Durations)
+	p.health.Restore(learned.Health, p.generationOf)
 }
 
 // learned returns the coefficients of the first images with the weight of their samples.
--- a/internal/job/pimplan/leaving_test.go
+++ b/internal/job/pimplan/leaving_test.go
@@ -100,15 +100,13 @@
 	for _, mayMiss := range []int{0, 2, 6} {
 		t.Run(fmt.Sprintf("may-miss %d", mayMiss), func(t *testing.T) {
 			sim := newSimulation(t, 6)
-			for i := 3; i < 6; i++ {
-				sim.unusable[fmt.Sprintf("w%02d", i)] = true
-			}
+			sim.unusable = map[string]bool{"w03": true, "w04": true, "w05": true}
 			step := serving("any", 6)
 			step.MayMiss, step.MaxPerWorker = mayMiss, 2
 			sim.submit("serve", 0, step)
 			sim.run(time.Second)
+			clear(sim.unusable)
 			for i := range 3 {
-				sim.unusable[fmt.Sprintf("w%02d", i+3)] = false
 				sim.drain(fmt.Sprintf("w%02d", i), leastStay)
 			}
 			stopped := 0
@@ -128,48 +126,40 @@
 // TestDayWithLeavingHosts guards against work that is lost with 7% of the workers that leave at once every 4 s, each of
 // which says 2.5 s before that it leaves. Two thirds of the capacity are in use. A worker that has left is replaced.
 func TestDayWithLeavingHosts(t *testing.T) {
-	runDay := func(said bool) (lost, onTime int) {
-		const jobs, workers = 160, 28
+	const jobs, workers = 160, 28
+	lost, onTime := map[bool]int{}, map[bool]int{}
+	for _, said := range []bool{false, true} {
 		sim := newSimulation(t, workers)
-		next := 0
 		for i := range jobs {
 			step := lasting(batch(12, 3), 2*time.Second+time.Duration(sim.random.IntN(4000))*time.Millisecond)
-			if i%2 == 0 {
-				step = withCheckpoints(step)
-			}
+			step.Checkpoints = i%2 == 0
 			sim.submit(fmt.Sprintf("job-%03d", i), 0, step)
-			if i%16 == 8 {
-				for range 2 {
-					id := fmt.Sprintf("w%02d", next%workers)
-					sim.drain(id, leastStay)
-					next++
-					if !said {
-						delete(sim.staysUntil, id)
-					}
+			for k := range 2 {
+				if w := i/16*2 + k; i%16 == 8 {
+					sim.drain(newWorker(w, 4, 1).ID, leastStay)
 				}
 			}
+			if !said {
+				clear(sim.staysUntil)
+			}
 			sim.run(250 * time.Millisecond)
 			for w := range workers {
-				if id := fmt.Sprintf("w%02d", w); sim.state.Worker(id) == nil {
-					delete(sim.staysUntil, id)
-					delete(sim.leavesAt, id)
-					sim.apply(pimjob.PutWorker{Worker: newWorker(w, 4, 2)})
+				if worker := newWorker(w, 4, 2); sim.state.Worker(worker.ID) == nil {
+					delete(sim.leavesAt, worker.ID)
+					sim.apply(pimjob.PutWorker{Worker: worker})
 				}
 			}
 		}
 		sim.run(20 * time.Second)
 		for i := range jobs {
 			job := sim.state.Job(fmt.Sprintf("job-%03d", i))
-			if estimate := job.Submission.Steps[0].Estimate; job.State == pimjob.Completed &&
-				job.EndedAt <= job.AcceptedAt+(2*estimate+time.Second).Milliseconds() {
-				onTime++
+			limit := (2*job.Submission.Steps[0].Estimate + time.Second).Milliseconds()
+			if job.State == pimjob.Completed && job.EndedAt <= job.AcceptedAt+limit {
+				onTime[said]++
 			}
 		}
-		t.Logf("said %v: %v, %d jobs on time", said, sim.ends, onTime)
-		return sim.ends[pimjob.EndLost], onTime
+		lost[said] = sim.ends[pimjob.EndLost]
+		t.Logf("said %v: %v, %d jobs on time", said, sim.ends, onTime[said])
 	}
-	lostBefore, onTimeBefore := runDay(false)
-	lost, onTime := runDay(true)
-	assert.Assert(t, lost < lostBefore/4, "%d of %d runs are still lost", lost, lostBefore)
-	assert.Assert(t, onTime >= onTimeBefore)
+	assert.Assert(t, lost[true] < lost[false]/4 && onTime[true] >= onTime[false])
 }
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -144,7 +144,7 @@
 }
 
 // observePace updates the paces of a host's runs from a report.
-func (p *Planner) observePace(now time.Duration, h *host, runs []pimfleet.ObservedRun) {
+func (p *Planner) observePace(h *host, runs []pimfleet.ObservedRun) {
 	for _, observed := range runs {
 		key := observed.Status.Key
 		task, step, job := p.state.Task(key)
@@ -162,7 +162,7 @@
 		if step.BestEffort && step.Need.Millicores > 0 {
 			share = min(share, observed.Status.Metric/float64(step.Need.Millicores))
 		}
-		unimpaired := share >= fullShare && hasLocalData(step, h) && now >= h.failures.backoffUntil
+		unimpaired := share >= fullShare && hasLocalData(step, h) && !p.health.IsSuspect(h.worker.ID)
 		if run.observe(progressSample{observed.Status.ProgressPercent, observed.ListedAt}, share, unimpaired) {
 			p.stepPaceOf(key).add(runOfStep{key, h.worker.ID, run.fullPace(), run.worked})
 		}
@@ -218,7 +218,7 @@
 	}
 	p.stops.OnEnd(live.Key, live.Run.Number, now)
 	h := p.hosts[live.Run.Worker]
-	if run == nil || run.number != live.Run.Number || h == nil || now < h.failures.backoffUntil {
+	if run == nil || run.number != live.Run.Number || h == nil || p.health.IsSuspect(h.worker.ID) {
 		return
 	}
 	if group := p.pace.steps[stepKey{live.Key.Job, live.Key.Occurrence, live.Key.Step}]; group != nil && group.spread {
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimduration"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimhealth"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
@@ -63,6 +64,7 @@
 		// shares is how scarce capacity is divided between organisations.
 		shares  shareState
 		leaving leavingState
+		health  *pimhealth.Model
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -78,6 +80,8 @@
 		NextDue int64
 		// StopReport is what has become of earlier stops.
 		StopReport pimstop.Report
+		// HealthChanges are the hosts that were taken for faulty or no longer are.
+		HealthChanges []pimhealth.Change
 	}
 
 	// Reservation is a step for which hosts are kept free. Key is that of its first waiting task.
@@ -155,7 +159,7 @@
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
-		leaving: newLeavingState(),
+		leaving: newLeavingState(), health: pimhealth.New(),
 	}
 	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
@@ -214,7 +218,7 @@
 		if _, step, _ := p.state.Task(live.Key); step != nil {
 			h.remove(live.Key, step)
 		}
-		h.failures.onRunEnded(live, kind, now)
+		p.observeEnd(live, kind, now)
 	}
 	if kind != pimjob.EndRefused {
 		delete(p.refusedStarts, live.Key.Job)
@@ -236,6 +240,7 @@
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
+	p.health.ForgetJob(job.Submission.ID)
 	p.forgetDurations(job)
 	p.waits.forgetJob(job)
 	for key := range p.unsuitableWorkers {
@@ -253,8 +258,8 @@
 	p.quotas = map[string]*quotaUse{}
 	for _, h := range p.sortedHosts {
 		h.schedulable = p.isSchedulable(h, now)
-		h.backingOff = now < h.failures.backoffUntil
 	}
+	p.selectHealthyHosts(now)
 	var placements []placement
 	unplaced := unplaceable{}
 	candidates := p.candidates(now, wallClock, &plan)
@@ -274,6 +279,7 @@
 	}
 	p.handleReports(now, &plan)
 	plan.StopReport = p.stops.TakeReport(now)
+	plan.HealthChanges = p.health.TakeChanges()
 	return plan
 }
 
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -50,6 +50,8 @@
 		durationFactors map[string]float64
 		// staysUntil is until when draining workers have said to stay, leavesAt when workers leave.
 		staysUntil, leavesAt map[string]time.Duration
+		// failShares are the shares of the runs on workers that fail, half-way.
+		failShares map[string]float64
 		// onPlan is called with each plan, if set.
 		onPlan func(plan pimplan.Plan)
 	}
@@ -63,6 +65,8 @@
 		phase           float64
 		tailMillis      float64
 		usedCores       float64
+		// failsAt is the remaining work at which the run fails, if it is to fail.
+		failsAt float64
 	}
 )
 
@@ -167,10 +171,14 @@
 			if !ok {
 				remaining = sim.workOf(change.Live.Key, step)
 			}
-			sim.runs[change.Live.Key] = &simulatedRun{
+			run := &simulatedRun{
 				live: change.Live, speedPercent: 100, remainingWork: remaining,
 				phase: sim.random.Float64() * 2 * math.Pi,
 			}
+			sim.runs[change.Live.Key] = run
+			if share := sim.failShares[change.Live.Run.Worker]; share > 0 && sim.random.Float64() < share {
+				run.failsAt = remaining / 2
+			}
 		case pimjob.RunEnded:
 			sim.ends[change.Kind]++
 			// A run that is lost has not saved its work since it started.
@@ -311,6 +319,13 @@
 		default:
 			run.remainingWork -= float64(step.Need.Millicores) / 1000 * tickInterval.Seconds() * sim.speedOf(run)
 		}
+		if run.failsAt > 0 && run.remainingWork <= run.failsAt {
+			ended = append(ended, pimjob.End{
+				Key: key, Number: run.live.Run.Number, Worker: run.live.Run.Worker,
+				Generation: run.live.Run.Generation, Kind: pimjob.EndFailed,
+			})
+			continue
+		}
 		if run.remainingWork <= 0 && !step.LongRunning {
 			ended = append(ended, pimjob.End{
 				Key: key, Number: run.live.Run.Number, Worker: run.live.Run.Worker,
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimhealth"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
@@ -76,7 +77,7 @@
 	}
 	state.samples = samples
 	if stalled {
-		h.failures.backOff(now)
+		p.health.OnSymptom(h.worker.ID, pimhealth.Stalled, now)
 		return
 	}
 	if state.speedSamples >= minSpeedSamples && state.speed < slowHostSpeed {
@@ -101,7 +102,7 @@
 
 // evacuateSlowHost stops the runs on a slow host that would finish sooner elsewhere.
 func (p *Planner) evacuateSlowHost(now time.Duration, h *host, runs []pimfleet.ObservedRun, plan *Plan) {
-	h.failures.backOff(now)
+	p.health.OnSymptom(h.worker.ID, pimhealth.Slow, now)
 	// At least 0.05 keeps the remaining time of a run finite.
 	speed := max(0.05, h.progress.speed)
 	h.progress.speedSamples = 0
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -1,20 +1,6 @@
 package pimplan
 
-import (
-	"slices"
-	"time"
-
-	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
-)
-
-// failureRecord tracks the failures of a worker and until when it is avoided because of them.
-type failureRecord struct {
-	// failedJobs are the jobs with a failed run on the worker since its last successful run.
-	failedJobs   []string
-	backoffUntil time.Duration
-	// doublings is how many times minBackoff is doubled for the next backoff.
-	doublings int
-}
+import "github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 
 const (
 	// assumedServingLoad is the share of its requested processor time that a serving task is assumed
@@ -23,11 +9,6 @@
 	// minIdleShare is the least share of its requested processor time that must be idle on a host
 	// for a best-effort task to start there.
 	minIdleShare = 0.7
-	// failedJobsBeforeBackoff is how many jobs must fail in a row on a worker before it is avoided.
-	failedJobsBeforeBackoff = 3
-	minBackoff              = 2 * time.Second
-	maxBackoff              = 16 * time.Second
-	maxBackoffDoublings     = 3
 	// preferredLabelBonus outweighs any difference in free capacity, as a task whose data is on
 	// another rack is slowed down by the platform's remote factor.
 	preferredLabelBonus = 10.0
@@ -50,10 +31,13 @@
 	}
 	score := 0.0
 	if h.backingOff {
-		if !c.starved && !step.LongRunning {
+		switch {
+		case h.admitsProbe(step):
+		case c.starved || step.LongRunning:
+			score -= backoffPenalty
+		default:
 			return 0, false
 		}
-		score -= backoffPenalty
 	}
 	switch {
 	case step.PreferredLabel == "":
@@ -85,33 +69,3 @@
 	}
 	return score, true
 }
-
-// onRunEnded records the end of a run. A worker on which several jobs fail in a row is avoided for a
-// while; a single job that fails everywhere says nothing about a worker.
-func (r *failureRecord) onRunEnded(live pimjob.LiveRun, kind pimjob.EndKind, now time.Duration) {
-	switch kind {
-	case pimjob.EndDone:
-		r.failedJobs = nil
-		r.doublings = 0
-	case pimjob.EndFailed:
-		if !slices.Contains(r.failedJobs, live.Key.Job) {
-			r.failedJobs = append(r.failedJobs, live.Key.Job)
-		}
-		if len(r.failedJobs) >= failedJobsBeforeBackoff {
-			r.backOff(now)
-			// One more failing job is enough for the next backoff.
-			r.failedJobs = r.failedJobs[:failedJobsBeforeBackoff-1]
-		}
-	default:
-	}
-}
-
-// backOff keeps new runs away from the worker for a while, for longer each time until a run succeeds
-// there.
-func (r *failureRecord) backOff(now time.Duration) {
-	if now < r.backoffUntil {
-		return
-	}
-	r.backoffUntil = now + min(maxBackoff, minBackoff<<r.doublings)
-	r.doublings = min(r.doublings+1, maxBackoffDoublings)
-}
--- a/internal/job/pimplan/throttle.go
+++ b/internal/job/pimplan/throttle.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		observed := p.workers.ObservedRuns(id)
-		p.observePace(now, h, observed)
+		p.observePace(h, observed)
 		p.checkProgress(now, h, observed, plan)
 		p.migrateSlowRuns(now, h, observed, plan)
 		runs := h.throttling.observe(p.state, p.interference, observed, now)
