--- a/internal/job/pimhealth/model_test.go
+++ b/internal/job/pimhealth/model_test.go
@@ -12,34 +12,31 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
 
-// load is a deployment on which each host ends a number of runs a second. Each job has four tasks, and all tasks of the
-// share poisoned of the jobs fail.
+// load is a deployment of 50 hosts, each of which ends a number of runs a second. Each job has four tasks, and all tasks
+// of the share poisoned of the jobs fail. Faulty hosts are so for 6 s.
 type load struct {
-	hosts                   int
-	endsPerSecond           float64
-	failing, poisoned       float64
-	faulty                  int
-	faultyFrom, faultyUntil time.Duration
-	duration                time.Duration
+	endsPerSecond, failing, poisoned float64
+	faulty                           int
+	duration                         time.Duration
 }
 
+func service(string) (string, bool) { return "svc", true }
+
 // play returns the share of host-seconds for which healthy hosts are avoided or probed, and that of the faulty time for
 // which faulty ones are. A host that is avoided ends no run, and one that is probed a run in 300 ms.
 func (l load) play(seed uint64) (healthy, faulty float64) {
-	const step = 10 * time.Millisecond
+	const hosts, step, faultyFrom = 50, 10 * time.Millisecond, 20 * time.Second
 	random, model := rand.New(rand.NewPCG(seed, 1)), pimhealth.New()
-	sizes := map[string]int{"svc": l.hosts}
-	serviceOf := func(string) (string, bool) { return "svc", true }
+	sizes := map[string]int{"svc": hosts}
 	var healthySteps, faultySteps, healthyAvoided, faultyAvoided float64
 	task, poisoned := 0, false
 	for now := time.Duration(0); now < l.duration; now += step {
 		model.Tick(now)
-		selected := model.Select(serviceOf, sizes, now)
-		for i := range l.hosts {
+		selected := model.Select(service, sizes, now)
+		for i := range hosts {
 			id := fmt.Sprint("w", i)
-			isFaulty := i < l.faulty && now >= l.faultyFrom && now < l.faultyUntil
-			status := selected[id]
-			avoided := 0.0
+			isFaulty := i < l.faulty && now >= faultyFrom && now < faultyFrom+6*time.Second
+			status, avoided := selected[id], 0.0
 			if status != pimhealth.Used {
 				avoided = 1
 			}
@@ -76,7 +73,7 @@
 func TestHealthyHosts(t *testing.T) {
 	for _, rate := range []float64{0.5, 2, 8, 30} {
 		for _, l := range []load{{failing: 0.03}, {failing: 0.05}, {failing: 0.02, poisoned: 0.03}} {
-			l.hosts, l.endsPerSecond, l.duration = 50, rate, 5*time.Minute
+			l.endsPerSecond, l.duration = rate, 5*time.Minute
 			avoided, _ := l.play(1)
 			t.Logf("%.1f ends a second, %.2f fail, %.2f of the jobs: avoided for %.5f", rate, l.failing, l.poisoned, avoided)
 			assert.Assert(t, avoided < 0.002)
@@ -88,10 +85,7 @@
 // task is done on them: 14% of 50 hosts at once.
 func TestFaultyHosts(t *testing.T) {
 	for rate, want := range map[float64]float64{2: 0.1, 8: 0.5, 30: 0.75} {
-		l := load{
-			hosts: 50, endsPerSecond: rate, failing: 0.04, faulty: 7,
-			faultyFrom: 20 * time.Second, faultyUntil: 26 * time.Second, duration: 30 * time.Second,
-		}
+		l := load{endsPerSecond: rate, failing: 0.04, faulty: 7, duration: 30 * time.Second}
 		healthy, faulty := 0.0, 0.0
 		for seed := range uint64(10) {
 			h, f := l.play(seed)
@@ -125,7 +119,6 @@
 		next := pimhealth.New()
 		next.Restore(model.Summary(generationOf), generationOf)
 		for _, m := range []*pimhealth.Model{model, next} {
-			service := func(string) (string, bool) { return "svc", true }
 			m.Tick(now)
 			selected := m.Select(service, map[string]int{"svc": 10}, now)
 			assert.Equal(t, len(selected), 2)
