Check with a healthy fleet that poisoned jobs make no host suspect

The test also passed without the comparison of jobs across hosts, because no other tasks had ended and the share of the fleet was at its limit.

--- a/internal/job/pimhealth/model_test.go
+++ b/internal/job/pimhealth/model_test.go
@@ -100,8 +100,11 @@
 func TestModel(t *testing.T) {
 	t.Run("a job that fails everywhere says nothing about hosts", func(t *testing.T) {
 		model := pimhealth.New()
-		for i := range 200 {
-			model.OnEnd(fmt.Sprint("w", i%4), fmt.Sprint("poison", i%3), pimhealth.Failed, time.Second)
+		for i := range 500 {
+			model.OnEnd(fmt.Sprint("other", i%10), fmt.Sprint("done", i), pimhealth.Done, time.Second)
+		}
+		for i := range 24 {
+			model.OnEnd(fmt.Sprint("w", i%4), fmt.Sprint("poison", i/4), pimhealth.Failed, time.Second)
 		}
 		assert.Assert(t, !model.HasSuspects())
 	})
