--- a/internal/job/pimfleet/bench_test.go
+++ b/internal/job/pimfleet/bench_test.go
@@ -50,7 +50,7 @@
 				Key: pimjob.TaskKey{Job: "a", Index: i*benchRuns + run}, Number: 1, ProgressPercent: 5, Metric: 900,
 			})
 		}
-		fleet.OnHeartbeat(id, 1, time.Second, time.Second)
+		fleet.OnHeartbeat(id, 1, time.Second, 0, time.Second)
 		fleet.OnResult(results[i], time.Second)
 	}
 	fleet.Take()
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimduration"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimhealth"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimstop"
 )
@@ -29,6 +30,8 @@
 		// TakeUpdatedWorkers returns the ids of the workers that reported their runs since the last
 		// call, sorted.
 		TakeUpdatedWorkers() []string
+		// StaysUntil returns until when a draining worker stays at least, and false if that is not known.
+		StaysUntil(id string) (time.Duration, bool)
 	}
 
 	// Planner makes plans during one term of leadership.
@@ -59,7 +62,9 @@
 		topology *topology
 		waits    waits
 		// shares is how scarce capacity is divided between organisations.
-		shares shareState
+		shares  shareState
+		leaving leavingState
+		health  *pimhealth.Model
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -75,6 +80,8 @@
 		NextDue int64
 		// StopReport is what has become of earlier stops.
 		StopReport pimstop.Report
+		// HealthChanges are the hosts that were taken for faulty or no longer are.
+		HealthChanges []pimhealth.Change
 	}
 
 	// Reservation is a step for which hosts are kept free. Key is that of its first waiting task.
@@ -152,6 +159,7 @@
 		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
+		leaving: newLeavingState(), health: pimhealth.New(),
 	}
 	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
@@ -210,7 +218,7 @@
 		if _, step, _ := p.state.Task(live.Key); step != nil {
 			h.remove(live.Key, step)
 		}
-		h.failures.onRunEnded(live, kind, now)
+		p.observeEnd(live, kind, now)
 	}
 	if kind != pimjob.EndRefused {
 		delete(p.refusedStarts, live.Key.Job)
@@ -232,6 +240,7 @@
 	delete(p.changedJobs, job.Submission.ID)
 	delete(p.refusedStarts, job.Submission.ID)
 	delete(p.pausedUntil, job.Submission.ID)
+	p.health.ForgetJob(job.Submission.ID)
 	p.forgetDurations(job)
 	p.waits.forgetJob(job)
 	for key := range p.unsuitableWorkers {
@@ -249,8 +258,8 @@
 	p.quotas = map[string]*quotaUse{}
 	for _, h := range p.sortedHosts {
 		h.schedulable = p.isSchedulable(h, now)
-		h.backingOff = now < h.failures.backoffUntil
 	}
+	p.selectHealthyHosts(now)
 	var placements []placement
 	unplaced := unplaceable{}
 	candidates := p.candidates(now, wallClock, &plan)
@@ -262,12 +271,15 @@
 			placements = p.place(c, unplaced, placements, &plan)
 		}
 	}
+	// Placements of this plan count as taken, so that moves use only what they leave.
+	p.moveFromLeavingHosts(now, &plan)
 	// Runs count as placed only once their starts are committed.
 	for _, placed := range placements {
 		placed.host.remove(placed.key, placed.step)
 	}
 	p.handleReports(now, &plan)
 	plan.StopReport = p.stops.TakeReport(now)
+	plan.HealthChanges = p.health.TakeChanges()
 	return plan
 }
 
