Acknowledge heartbeats without news at any control daemon of a large deployment

Change: where the workers are too many for direct calls, a control daemon that reaches the leader acknowledges such heartbeats itself and passes on one in four seconds.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -81,9 +81,10 @@
 		commands  pond.Pool
 		renewals  pond.Pool
 		// passedOn runs requests that are passed on to the leader.
-		passedOn pond.Pool
-		disk     *disk
-		relaying relaying
+		passedOn   pond.Pool
+		disk       *disk
+		relaying   relaying
+		heartbeats heartbeatFilter
 
 		replica *pimconsensus.Replica
 		state   *pimjob.State
@@ -208,6 +209,7 @@
 		store.Close()
 		return err
 	}
+	c.heartbeats.reset(c.state)
 	c.diskEpoch++
 	c.disk = &disk{store: store, batches: make(chan diskBatch, 1), epoch: c.diskEpoch}
 	c.now = pimclock.Now()
--- a/internal/job/pimcontrol/output.go
+++ b/internal/job/pimcontrol/output.go
@@ -51,6 +51,7 @@
 		return
 	}
 	c.state = state
+	c.heartbeats.reset(state)
 	c.logBytes = 0
 	c.logger.Info().Uint64("index", snapshot.Index).Msg("installed the snapshot of the leader")
 }
@@ -67,6 +68,7 @@
 			continue
 		}
 		changes := c.state.Apply(at, ops)
+		c.heartbeats.onChanges(changes)
 		if c.leadership != nil {
 			c.leadership.onApplied(c, entry, changes)
 		}
