Find hosts by an index of free capacity, and sample them above 600 hosts

A plan walked all hosts for each step, checked all of them, and sorted all waiting jobs. At 3,000 hosts a start cost about 6.7 times what it cost at 300 hosts.

Each service now has a tree of the largest free capacity, which is updated with each change of a host. Up to 600 hosts all hosts with room are ranked, as before; above that the ranking stops after 128 hosts (512 for best-effort steps) and goes on when these are used up. Totals of capacity, the order of waiting jobs, and unsuitable workers are kept up to date instead of being computed in each plan.

--- a/internal/job/pimplan/delay.go
+++ b/internal/job/pimplan/delay.go
@@ -224,7 +224,12 @@
 		return 0
 	}
 	cores := 0.0
-	for _, h := range p.hostTopology().byLabel[step.PreferredLabel] {
+	hosts := p.hostTopology().byLabel[step.PreferredLabel]
+	if len(hosts) > maxPreferredHosts {
+		// No task waits for so many hosts.
+		return 0
+	}
+	for _, h := range hosts {
 		if p.mayWaitFor(c, step, h) {
 			cores += float64(h.worker.Capacity.Millicores-h.servingMillicores) / 1000
 		}
@@ -253,7 +258,7 @@
 		}
 		free := int64(1)
 		for _, h := range hosts {
-			if h.schedulable {
+			if p.refreshHost(h); h.schedulable {
 				free += max(0, h.free.Millicores)
 			}
 		}
@@ -275,7 +280,8 @@
 func (p *Planner) placeNear(c candidate, step *pimjob.Step, unplaced unplaceable, placements []placement, plan *Plan) []placement {
 	quota := p.quotaOf(c.job)
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
-	near := p.rank(c, step, p.hostTopology().byLabel[step.PreferredLabel], nil)
+	isNear := func(h *host) bool { return h.worker.HasLabel(step.PreferredLabel) }
+	near := p.rankPreferred(c, step, isNear)
 	start := func(index int, h *host) {
 		key := c.taskKey(index)
 		quota.add(step.Need, 1)
@@ -299,7 +305,7 @@
 	if len(left) == 0 || p.tasksWait(c, step, left, plan) {
 		return placements
 	}
-	far := p.rank(c, step, p.sortedHosts, func(h *host) bool { return !h.worker.HasLabel(step.PreferredLabel) })
+	far := p.rankPool(c, step, func(h *host) bool { return !isNear(h) })
 	if far.Len() == 0 && near.Len() == 0 && step.MaxPerWorker == 0 {
 		class := equivalenceClassOf(&c.job.Queue, step)
 		unplaced[class] = append(unplaced[class], step.Need)
@@ -319,7 +325,7 @@
 
 // takeSuitableHost assigns a task to the best host on which it has neither failed nor been slow, and returns it, or nil.
 func (p *Planner) takeSuitableHost(c candidate, step *pimjob.Step, key pimjob.TaskKey, ranked *hostHeap) *host {
-	unsuitable := p.unsuitableWorkers[key]
+	unsuitable := p.unsuitable(key)
 	if len(unsuitable) > 0 && !slices.ContainsFunc(ranked.hosts, func(entry scoredHost) bool {
 		return !slices.Contains(unsuitable, entry.host.worker.ID)
 	}) {
@@ -389,7 +395,7 @@
 func (p *Planner) tasksWait(c candidate, step *pimjob.Step, tasks []int, plan *Plan) bool {
 	hosts := p.forecastPreferred(c, step)
 	for _, index := range tasks {
-		unsuitable := p.unsuitableWorkers[c.taskKey(index)]
+		unsuitable := p.unsuitable(c.taskKey(index))
 		hosts = slices.DeleteFunc(hosts, func(h *host) bool {
 			return h.free.Fits(step.Need) || slices.Contains(unsuitable, h.worker.ID)
 		})
@@ -477,13 +483,12 @@
 	if ok || len(w.hasRoom) >= maxCountedNeeds {
 		return known
 	}
-	places := int64(0)
-	for _, h := range p.sortedHosts {
-		if !h.backingOff && p.mayRunOn(c.job, step, h) {
-			places += countPlaces(h.free, step.Need)
-		}
-	}
-	w.hasRoom[key] = places >= placesPerWaitingTask*max(1, countTasks(w.waitingNeed[key.service], step.Need))
+	missing := placesPerWaitingTask * max(1, countTasks(w.waitingNeed[key.service], step.Need))
+	p.eachWithRoom(c.job, step, func(h *host) bool {
+		missing -= countPlaces(h.free, step.Need)
+		return missing > 0
+	})
+	w.hasRoom[key] = missing <= 0
 	return w.hasRoom[key]
 }
 
@@ -644,7 +649,7 @@
 	for _, rack := range p.racksByFree(c.job.Queue.Service) {
 		var hosts []*host
 		places := int64(0)
-		for _, h := range p.hostTopology().byRack[rack] {
+		for _, h := range p.hostTopology().byRack[rack].hosts {
 			if p.mayWaitFor(c, step, h) {
 				hosts = append(hosts, h)
 				places += countPlaces(h.worker.Capacity, step.Need)
@@ -666,8 +671,8 @@
 		return known
 	}
 	free := map[string]int64{}
-	for _, h := range p.sortedHosts {
-		if h.schedulable && h.worker.Service == service && h.worker.Rack != "" {
+	for _, h := range p.index.sorted {
+		if p.refreshHost(h); h.schedulable && h.worker.Service == service && h.worker.Rack != "" {
 			free[h.worker.Rack] += h.free.Millicores
 		}
 	}
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
@@ -28,6 +27,12 @@
 		reserved   bool
 		throttling throttleState
 		progress   progressState
+		// pool and rack are nil until they are built, position is that in the pool, unavailableAt that in
+		// hostIndex.unavailable, or -1, and checkedIn the number of the plan that checked the host last.
+		pool                    *hostPool
+		rack                    *rack
+		position, unavailableAt int
+		checkedIn               uint64
 	}
 
 	// placement is a task that the current plan assigns to a host.
@@ -41,12 +46,12 @@
 // putHost adds or updates a worker. A new generation replaces the host and all that was learned
 // about it.
 func (p *Planner) putHost(worker pimjob.Worker) {
-	p.topology = nil
 	known := p.hosts[worker.ID]
 	if known != nil && known.worker.Generation == worker.Generation {
-		known.worker = worker
+		p.updateHost(known, worker)
 		return
 	}
+	p.topology = nil
 	h := &host{worker: worker, free: worker.Capacity, tasksByStep: map[stepKey]int{}, servingImages: map[string]int{}}
 	for key, live := range p.state.RunsOn(worker.ID) {
 		if live.Run.Generation != worker.Generation {
@@ -57,29 +62,47 @@
 		}
 	}
 	p.hosts[worker.ID] = h
-	p.sortHosts()
+	p.index.add(h)
+}
+
+// updateHost replaces what is known about a worker of the same generation.
+func (p *Planner) updateHost(h *host, worker pimjob.Worker) {
+	if h.worker.Rack != worker.Rack || !slices.Equal(h.worker.Labels, worker.Labels) {
+		p.topology = nil
+	}
+	p.index.isStale = p.index.isStale || h.worker.Service != worker.Service
+	p.index.isSmallestKnown = p.index.isSmallestKnown && h.worker.Capacity == worker.Capacity
+	p.index.known = p.index.known.Minus(h.worker.Capacity).Plus(worker.Capacity)
+	p.index.change(h, func() { h.worker = worker })
 }
 
 func (p *Planner) removeHost(id string) {
 	p.topology = nil
 	delete(p.hosts, id)
-	p.sortHosts()
-}
-
-func (p *Planner) sortHosts() {
-	p.sortedHosts = p.sortedHosts[:0]
-	for _, h := range p.hosts {
-		p.sortedHosts = append(p.sortedHosts, h)
-	}
-	slices.SortFunc(p.sortedHosts, func(a, b *host) int { return strings.Compare(a.worker.ID, b.worker.ID) })
+	p.index.remove(id)
 }
 
 func (h *host) add(key pimjob.TaskKey, step *pimjob.Step) { h.adjust(key, step, 1) }
 
 func (h *host) remove(key pimjob.TaskKey, step *pimjob.Step) { h.adjust(key, step, -1) }
 
-// adjust adds a task to the host's totals with sign 1 and removes it with sign -1.
+// adjust adds a task to the host with sign 1 and removes it with sign -1.
 func (h *host) adjust(key pimjob.TaskKey, step *pimjob.Step, sign int64) {
+	if h.rack != nil {
+		h.rack.count(h, -1)
+		defer func() { h.rack.count(h, 1) }()
+	}
+	if h.pool != nil {
+		h.pool.count(h, -1)
+		defer func() {
+			h.pool.count(h, 1)
+			h.pool.update(h)
+		}()
+	}
+	h.adjustTotals(key, step, sign)
+}
+
+func (h *host) adjustTotals(key pimjob.TaskKey, step *pimjob.Step, sign int64) {
 	reserved := step.Reserved()
 	h.free = h.free.Minus(pimjob.Resources{
 		Millicores: sign * reserved.Millicores, MemoryMB: sign * reserved.MemoryMB, GPUs: sign * reserved.GPUs,
@@ -104,6 +127,12 @@
 	}
 }
 
+// idleMillicores returns the processor time that best-effort tasks may use.
+func (h *host) idleMillicores() float64 {
+	return float64(max(1, h.worker.Capacity.Millicores)) - float64(h.servingMillicores)*assumedServingLoad -
+		float64(h.otherMillicores) - float64(h.bestEffortMillicores)
+}
+
 // countOtherImages returns how many serving tasks on the host run another image.
 func (h *host) countOtherImages(image string) int {
 	count := 0
--- a/internal/job/pimplan/migrate.go
+++ b/internal/job/pimplan/migrate.go
@@ -58,13 +58,14 @@
 func (p *Planner) hasRoomElsewhere(key pimjob.TaskKey, step *pimjob.Step, from *host) bool {
 	job := p.state.Job(key.Job)
 	c := candidate{job: job, key: stepKey{key.Job, key.Occurrence, key.Step}}
-	return slices.ContainsFunc(p.sortedHosts, func(h *host) bool {
-		if h == from || !p.mayRunOn(job, step, h) || slices.Contains(p.unsuitableWorkers[key], h.worker.ID) {
-			return false
+	found := false
+	p.eachWithRoom(job, step, func(h *host) bool {
+		if h != from && !slices.Contains(p.unsuitable(key), h.worker.ID) {
+			_, found = p.score(c, step, h)
 		}
-		_, ok := p.score(c, step, h)
-		return ok
+		return !found
 	})
+	return found
 }
 
 // finishesSoonerElsewhere compares the remaining time of a run at its present speed with that on
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -19,9 +19,10 @@
 	// class that is at least as large in every resource finds none either.
 	unplaceable map[equivalenceClass][]pimjob.Resources
 
-	// hostHeap is a heap of hosts for the tasks of one step, with the best on top.
+	// hostHeap is a heap of hosts for the tasks of one step, with the best on top. Its scan, if there is one, finds more.
 	hostHeap struct {
 		hosts []scoredHost
+		scan  *hostScan
 	}
 
 	scoredHost struct {
@@ -149,9 +150,16 @@
 	if !quota.admits(step.Need, len(c.tasks)) {
 		return placements
 	}
-	racks := []string{""}
+	reserved, count := step.Reserved(), int64(len(c.tasks))
+	together := pimjob.Resources{
+		Millicores: count * reserved.Millicores, MemoryMB: count * reserved.MemoryMB, GPUs: count * reserved.GPUs,
+	}
+	if pool := p.index.pools[c.job.Queue.Service]; pool == nil || !pool.total.Fits(together) {
+		return placements
+	}
+	var racks []string
 	if step.SameRack {
-		racks = append(slices.Clone(p.hostTopology().racks), "")
+		racks = p.hostTopology().racks
 	}
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	// All members get the same run number, by which their failures are counted once.
@@ -159,8 +167,15 @@
 	for i := range state.Tasks {
 		number = max(number, state.Tasks[i].LastRun+1)
 	}
-	for _, rack := range racks {
-		ranked := p.rankHosts(c, step, rack)
+	for i := range len(racks) + 1 {
+		var ranked *hostHeap
+		if i == len(racks) {
+			ranked = p.rankHosts(c, step, "")
+		} else if !p.hostTopology().byRack[racks[i]].free.Fits(together) {
+			continue
+		} else {
+			ranked = p.rankHosts(c, step, racks[i])
+		}
 		var chosen []placement
 		for _, index := range c.tasks {
 			if h := p.takeBestHost(c, step, c.taskKey(index), ranked); h != nil {
@@ -194,11 +209,10 @@
 // rankHosts returns the hosts that can take a task of the step. A rack other than "" limits them to
 // that rack.
 func (p *Planner) rankHosts(c candidate, step *pimjob.Step, rack string) *hostHeap {
-	hosts := p.sortedHosts
 	if rack != "" {
-		hosts = p.hostTopology().byRack[rack]
+		return p.rank(c, step, p.hostTopology().byRack[rack].hosts, nil)
 	}
-	return p.rank(c, step, hosts, nil)
+	return p.rankPool(c, step, nil)
 }
 
 // rank returns those of the hosts that can take a task of the step and that the filter, if there is one, includes.
@@ -218,6 +232,7 @@
 
 // mayRunOn reports whether a host may get new runs and is of the kind that the step needs.
 func (p *Planner) mayRunOn(job *pimjob.Job, step *pimjob.Step, h *host) bool {
+	p.refreshHost(h)
 	return h.schedulable && !h.reserved && h.worker.Service == job.Queue.Service && h.worker.HasLabel(step.RequiredLabel)
 }
 
@@ -226,9 +241,10 @@
 func (p *Planner) takeBestHost(c candidate, step *pimjob.Step, key pimjob.TaskKey, ranked *hostHeap) *host {
 	var skipped []scoredHost
 	var found *host
-	for ranked.Len() > 0 && found == nil {
+	unsuitable := p.unsuitable(key)
+	for found == nil && p.hasHost(ranked) {
 		entry := heap.Pop(ranked).(scoredHost)
-		if slices.Contains(p.unsuitableWorkers[key], entry.host.worker.ID) {
+		if slices.Contains(unsuitable, entry.host.worker.ID) {
 			skipped = append(skipped, entry)
 			continue
 		}
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -8,7 +8,6 @@
 package pimplan
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -36,15 +35,16 @@
 		state   *pimjob.State
 		workers Workers
 		hosts   map[string]*host
-		// sortedHosts holds the hosts, sorted by id.
-		sortedHosts []*host
+		index   hostIndex
+		// waitingJobs holds the jobs with an entry in queue, or with an occurrence to come.
 		waitingJobs map[string]*waitingJob
+		queue       candidateQueue
 		// changedJobs are the jobs whose entry in waitingJobs is out of date.
 		changedJobs map[string]bool
 		// liveRuns counts the live runs of each job.
 		liveRuns map[string]int
-		// unsuitableWorkers are the workers on which a task failed or was slow.
-		unsuitableWorkers map[pimjob.TaskKey][]string
+		// unsuitableWorkers are the workers on which a task failed or was slow, by job.
+		unsuitableWorkers map[string]map[pimjob.TaskKey][]string
 		interference      *interferenceModel
 		// refusedStarts counts how many of a job's starts in a row were refused by workers,
 		// pausedUntil is when a job with many of them is tried again.
@@ -116,6 +116,8 @@
 		nextDue    int64
 		// idleSince is when the job began to have waiting tasks but no live run, or 0.
 		idleSince time.Duration
+		// isStale means that another entry replaces this one, or none does.
+		isStale bool
 	}
 
 	// candidate is a step with tasks that may start. Tasks holds their indexes.
@@ -148,8 +150,8 @@
 func NewPlanner(state *pimjob.State, workers Workers) *Planner {
 	p := &Planner{
 		state: state, workers: workers, hosts: map[string]*host{},
-		waitingJobs: map[string]*waitingJob{}, changedJobs: map[string]bool{}, liveRuns: map[string]int{},
-		unsuitableWorkers: map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
+		waitingJobs: map[string]*waitingJob{}, queue: newCandidateQueue(), changedJobs: map[string]bool{}, liveRuns: map[string]int{},
+		unsuitableWorkers: map[string]map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
 	}
@@ -219,9 +221,9 @@
 	}
 	switch kind {
 	case pimjob.EndDone:
-		delete(p.unsuitableWorkers, live.Key)
+		delete(p.unsuitableWorkers[live.Key.Job], live.Key)
 	case pimjob.EndFailed:
-		p.unsuitableWorkers[live.Key] = append(p.unsuitableWorkers[live.Key], live.Run.Worker)
+		p.addUnsuitable(live.Key, live.Run.Worker)
 	default:
 	}
 }
@@ -234,11 +236,19 @@
 	delete(p.pausedUntil, job.Submission.ID)
 	p.forgetDurations(job)
 	p.waits.forgetJob(job)
-	for key := range p.unsuitableWorkers {
-		if key.Job == job.Submission.ID {
-			delete(p.unsuitableWorkers, key)
-		}
+	delete(p.unsuitableWorkers, job.Submission.ID)
+}
+
+// unsuitable returns the workers on which a task failed or was slow.
+func (p *Planner) unsuitable(key pimjob.TaskKey) []string { return p.unsuitableWorkers[key.Job][key] }
+
+func (p *Planner) addUnsuitable(key pimjob.TaskKey, worker string) {
+	ofJob := p.unsuitableWorkers[key.Job]
+	if ofJob == nil {
+		ofJob = map[pimjob.TaskKey][]string{}
+		p.unsuitableWorkers[key.Job] = ofJob
 	}
+	ofJob[key] = append(ofJob[key], worker)
 }
 
 // Plan decides which runs to start, stop and throttle. Now is monotonic, wallClock is in
@@ -247,10 +257,7 @@
 	var plan Plan
 	p.refreshJobs(now, wallClock)
 	p.quotas = map[string]*quotaUse{}
-	for _, h := range p.sortedHosts {
-		h.schedulable = p.isSchedulable(h, now)
-		h.backingOff = now < h.failures.backoffUntil
-	}
+	p.refreshHosts(now)
 	var placements []placement
 	unplaced := unplaceable{}
 	candidates := p.candidates(now, wallClock, &plan)
@@ -278,16 +285,19 @@
 
 // refreshJobs updates the waiting jobs that have changed or have an occurrence due.
 func (p *Planner) refreshJobs(now time.Duration, wallClock int64) {
-	for id, waiting := range p.waitingJobs {
-		if waiting.nextDue != 0 && waiting.nextDue <= wallClock {
+	for id, waiting := range p.queue.scheduled {
+		if waiting.nextDue <= wallClock {
 			p.changedJobs[id] = true
 		}
 	}
-	for id := range p.changedJobs {
-		delete(p.changedJobs, id)
+	changed := slices.Sorted(maps.Keys(p.changedJobs))
+	clear(p.changedJobs)
+	for _, id := range changed {
 		job := p.state.Job(id)
 		if job == nil {
-			delete(p.waitingJobs, id)
+			if known := p.waitingJobs[id]; known != nil {
+				p.setWaiting(known.job, nil)
+			}
 			continue
 		}
 		if job.State.IsEnded() {
@@ -349,28 +359,3 @@
 	}
 	return candidates
 }
-
-// candidates returns the steps with tasks to start, the most urgent first.
-func (p *Planner) candidates(now time.Duration, wallClock int64, plan *Plan) []candidate {
-	var candidates []candidate
-	for _, id := range slices.Sorted(maps.Keys(p.waitingJobs)) {
-		waiting := p.waitingJobs[id]
-		if now < p.pausedUntil[id] {
-			continue
-		}
-		starved := waiting.idleSince != 0 && now-waiting.idleSince >= starvedAfter
-		for _, c := range waiting.candidates {
-			c.starved = starved
-			c.urgency = c.deadlines.urgencyAt(wallClock)
-			candidates = append(candidates, c)
-		}
-		if waiting.nextDue != 0 && (plan.NextDue == 0 || waiting.nextDue < plan.NextDue) {
-			plan.NextDue = waiting.nextDue
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.urgency, b.urgency),
-			cmp.Compare(a.deadlines.due, b.deadlines.due))
-	})
-	return candidates
-}
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +51,8 @@
 		durationFactors map[string]float64
 		// onPlan is called with each plan, if set.
 		onPlan func(plan pimplan.Plan)
+		// planning is the real time that the plans took.
+		planning time.Duration
 	}
 
 	simulatedRun struct {
@@ -105,11 +108,8 @@
 
 func (sim *simulation) ObservedRuns(id string) []pimfleet.ObservedRun {
 	var observed []pimfleet.ObservedRun
-	for _, key := range sim.keys() {
+	for _, key := range slices.SortedFunc(maps.Keys(sim.state.RunsOn(id)), pimjob.CompareKeys) {
 		run := sim.runs[key]
-		if run.live.Run.Worker != id {
-			continue
-		}
 		metric := run.usedCores * 1000
 		_, step, _ := sim.state.Task(key)
 		if step.TargetLatency > 0 {
@@ -221,7 +221,9 @@
 
 // plan makes a plan and executes it.
 func (sim *simulation) plan() pimplan.Plan {
+	began := time.Now()
 	plan := sim.planner.Plan(sim.now, epochMillis+sim.now.Milliseconds())
+	sim.planning += time.Since(began)
 	if sim.onPlan != nil {
 		sim.onPlan(plan)
 	}
--- a/internal/job/pimplan/reserve.go
+++ b/internal/job/pimplan/reserve.go
@@ -1,9 +1,7 @@
 package pimplan
 
 import (
-	"cmp"
-	"slices"
-	"strings"
+	"container/heap"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
@@ -51,18 +49,8 @@
 // resetReservations makes the reserved hosts available to the first group of a plan.
 func (p *Planner) resetReservations() {
 	r := &p.shares.reservations
-	for i, h := range p.sortedHosts {
-		h.reserved = false
-		if i == 0 {
-			r.smallest = h.worker.Capacity
-			continue
-		}
-		r.smallest = pimjob.Resources{
-			Millicores: min(r.smallest.Millicores, h.worker.Capacity.Millicores),
-			MemoryMB:   min(r.smallest.MemoryMB, h.worker.Capacity.MemoryMB),
-			GPUs:       min(r.smallest.GPUs, h.worker.Capacity.GPUs),
-		}
-	}
+	p.index.releaseReserved()
+	r.smallest = p.index.smallestCapacity()
 	r.hosts, r.attempts = 0, 0
 	clear(r.seen)
 }
@@ -121,9 +109,9 @@
 		plan.Reservations = append(plan.Reservations, Reservation{Key: c.taskKey(c.tasks[0]), Tasks: c.together(step)})
 		return
 	}
-	limit := max(1, int(reservedHostsPart*float64(len(p.sortedHosts)))) - r.hosts
+	limit := max(1, int(reservedHostsPart*float64(len(p.index.sorted)))) - r.hosts
 	if r.hosts == 0 {
-		limit = max(1, int(maxGangHostsPart*float64(len(p.sortedHosts))))
+		limit = max(1, int(maxGangHostsPart*float64(len(p.index.sorted))))
 	}
 	if limit <= 0 || r.attempts >= maxReservationAttempts {
 		return
@@ -134,7 +122,7 @@
 		return
 	}
 	for _, h := range chosen {
-		h.reserved = true
+		p.index.reserve(h)
 	}
 	r.hosts += len(chosen)
 	r.seen[c.key] = true
@@ -150,25 +138,26 @@
 // have ended, or none if these do not suffice.
 func (p *Planner) hostsToReserve(c candidate, step *pimjob.Step, limit int) []*host {
 	var usable []*host
-	for _, h := range p.sortedHosts {
+	for _, h := range p.index.sorted {
 		if p.mayRunOn(c.job, step, h) && h.roomFor(step) > 0 &&
 			isLargePart(step, c.together(step), h.worker.Capacity) {
 			usable = append(usable, h)
 		}
 	}
-	slices.SortFunc(usable, func(a, b *host) int {
-		return cmp.Or(cmp.Compare(b.free.Millicores, a.free.Millicores), strings.Compare(a.worker.ID, b.worker.ID))
-	})
-	missing := c.together(step)
-	for i, h := range usable {
-		if i >= limit {
+	ranked := &hostHeap{}
+	for _, h := range usable {
+		ranked.hosts = append(ranked.hosts, scoredHost{h, float64(h.free.Millicores)})
+	}
+	heap.Init(ranked)
+	chosen := usable[:0]
+	for missing := c.together(step); missing > 0; {
+		if ranked.Len() == 0 || len(chosen) >= limit {
 			return nil
 		}
-		if missing -= h.roomFor(step); missing <= 0 {
-			return usable[:i+1]
-		}
+		h := heap.Pop(ranked).(scoredHost).host
+		chosen, missing = append(chosen, h), missing-h.roomFor(step)
 	}
-	return nil
+	return chosen
 }
 
 // together returns how many tasks of the step start at once.
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -66,8 +66,7 @@
 	requested := float64(step.Need.Millicores)
 	switch {
 	case step.BestEffort:
-		idle := capacity - float64(h.servingMillicores)*assumedServingLoad - float64(h.otherMillicores) -
-			float64(h.bestEffortMillicores)
+		idle := h.idleMillicores()
 		if !c.starved && idle < minIdleShare*requested {
 			return 0, false
 		}
--- a/internal/job/pimplan/shares.go
+++ b/internal/job/pimplan/shares.go
@@ -34,6 +34,7 @@
 // setWaiting replaces the entry of a job in the tables of waiting jobs. Nil removes it.
 func (p *Planner) setWaiting(job *pimjob.Job, waiting *waitingJob) {
 	id, owner := job.Submission.ID, job.Organisation
+	p.queue.replace(id, p.waitingJobs[id], waiting)
 	if waiting != nil {
 		p.waitingJobs[id] = waiting
 	} else {
@@ -143,19 +144,13 @@
 // need more than is free on the hosts of their service.
 func (p *Planner) isShort(candidates []candidate) bool {
 	free := map[string]pimjob.Resources{}
-	p.shares.capacity = pimjob.Resources{}
-	for _, h := range p.sortedHosts {
-		if !h.schedulable {
-			continue
-		}
-		p.shares.capacity = p.shares.capacity.Plus(h.worker.Capacity)
-		if !h.backingOff {
-			free[h.worker.Service] = free[h.worker.Service].Plus(h.free)
-		}
-	}
+	p.shares.capacity = p.index.schedulable
 	if p.shares.short {
 		return true
 	}
+	for service, pool := range p.index.pools {
+		free[service] = pool.free
+	}
 	for _, c := range candidates {
 		reserved := c.job.Submission.Steps[c.key.step].Reserved()
 		left, count := free[c.job.Queue.Service], int64(len(c.tasks))
@@ -241,10 +236,7 @@
 // shareOf returns the processor time that an organisation may use, apart from its quota.
 func (p *Planner) shareOf(organisation *pimorganisation.Organisation) int64 {
 	// All known workers count: a new leader has no valid lease of most of them yet, and must not reject jobs for that.
-	capacity := int64(0)
-	for _, h := range p.sortedHosts {
-		capacity += h.worker.Capacity.Millicores
-	}
+	capacity := p.index.known.Millicores
 	if !p.shares.short {
 		return capacity
 	}
--- a/internal/job/pimplan/stops.go
+++ b/internal/job/pimplan/stops.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if request.avoidHost {
-		p.unsuitableWorkers[key] = append(p.unsuitableWorkers[key], h.worker.ID)
+		p.addUnsuitable(key, h.worker.ID)
 	}
 	// Several rules may find the same run.
 	if !slices.ContainsFunc(plan.Stops, func(other StopRun) bool { return other.Key == key && other.Number == stop.Number }) {
@@ -63,13 +63,7 @@
 
 // usableCores returns the cores of the hosts that may get new runs.
 func (p *Planner) usableCores() float64 {
-	millicores := int64(0)
-	for _, h := range p.sortedHosts {
-		if h.schedulable {
-			millicores += h.worker.Capacity.Millicores
-		}
-	}
-	return float64(millicores) / millicoresPerCore
+	return float64(p.index.schedulable.Millicores) / millicoresPerCore
 }
 
 // forgetDurations removes what was recorded about the steps and stops of a job that has ended.
