Bound the hosts visited for reservations, and describe the cost of a plan

Each reservation walks all hosts, so that 32 of them cost ten times as much at 3,000 hosts as at 300. Above 600 hosts a plan now stops after as many visits as 32 reservations cost at 600. Reservations are also released when the last organisation is removed; their hosts stayed closed to new runs until now.

Best-effort steps rank 256 hosts above 600.

Go tests of internal/job pass, make check passes.

--- a/internal/job/pimplan/hostindex.go
+++ b/internal/job/pimplan/hostindex.go
@@ -65,7 +65,7 @@
 	// sampledHosts is how many hosts with room are ranked for a step on a larger deployment. Best-effort steps rank more:
 	// with 128 of 3,000 hosts, serving tasks were over their targets for four times as long as with all hosts.
 	sampledHosts           = 128
-	sampledBestEffortHosts = 512
+	sampledBestEffortHosts = 256
 	// checkedHosts is how many available hosts a plan of a larger deployment checks without need, so that the totals of
 	// free capacity follow within about 12 plans at 3,000 hosts.
 	checkedHosts = 256
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -265,6 +265,8 @@
 	if len(p.state.Config().Organisations) > 0 {
 		placements = p.placeForOrganisations(candidates, unplaced, now, &plan)
 	} else {
+		// Some are left if the last organisation was removed.
+		p.index.releaseReserved()
 		for _, c := range candidates {
 			placements = p.place(c, unplaced, placements, &plan)
 		}
--- a/internal/job/pimplan/reserve.go
+++ b/internal/job/pimplan/reserve.go
@@ -21,7 +21,7 @@
 	// hosts are expected to hold something that does not end.
 	reservationLimit = 10 * time.Second
 	// maxReservationAttempts bounds the cost of a plan in which many steps find no hosts to reserve: each attempt is a pass
-	// over all hosts.
+	// over all hosts. Above maxExactHosts it stands for as many hosts, not steps.
 	maxReservationAttempts = 32
 	// maxAbandoned bounds the memory of steps whose reservation expired.
 	maxAbandoned = 4096
@@ -113,7 +113,8 @@
 	if r.hosts == 0 {
 		limit = max(1, int(maxGangHostsPart*float64(len(p.index.sorted))))
 	}
-	if limit <= 0 || r.attempts >= maxReservationAttempts {
+	if limit <= 0 || r.attempts >= maxReservationAttempts ||
+		r.attempts*len(p.index.sorted) > maxReservationAttempts*maxExactHosts {
 		return
 	}
 	r.attempts++
