--- a/internal/job/pimplan/hostindex_test.go
+++ b/internal/job/pimplan/hostindex_test.go
@@ -196,3 +196,18 @@
 		}
 	}
 }
+
+// TestReservedHostsAreReleased guards against hosts that stay closed to new runs because the organisations for whose jobs they
+// were reserved have been removed.
+func TestReservedHostsAreReleased(t *testing.T) {
+	f := &randomFleet{random: rand.New(rand.NewPCG(1, 1)), state: pimjob.NewState(), now: time.Minute, unusable: map[string]bool{}}
+	f.planner = NewPlanner(f.state, f)
+	f.apply(pimjob.PutWorker{Worker: pimjob.Worker{ID: "w", Generation: 1, Service: "a", Capacity: pimjob.Resources{Millicores: 4000}}})
+	f.planner.Plan(f.now, f.now.Milliseconds())
+	f.planner.index.reserve(f.planner.hosts["w"])
+	f.apply(pimjob.Submit{
+		Submission: pimjob.Submission{ID: "job", Steps: []pimjob.Step{{Count: 1, Need: pimjob.Resources{Millicores: 1000}}}},
+		Queue:      pimjob.Queue{Name: "q", Service: "a", Attempts: 1, Objective: time.Second},
+	})
+	assert.Equal(t, len(f.planner.Plan(f.now, f.now.Milliseconds()).Starts), 1)
+}
--- a/internal/job/pimplan/plancost_test.go
+++ b/internal/job/pimplan/plancost_test.go
@@ -194,3 +194,20 @@
 		})
 	}
 }
+
+// TestSamePlansFromSameInput guards against plans of large deployments that depend on the order of a map, or on anything else
+// but the input.
+func TestSamePlansFromSameInput(t *testing.T) {
+	for _, organisations := range []int{0, 4} {
+		var digests []string
+		for range 2 {
+			load := newMixedLoad(t, 700, organisations, pimplan.Settings{RemoteFactor: 2})
+			hash := sha256.New()
+			for index := range 20 {
+				fmt.Fprintln(hash, load.tick(index, 1400))
+			}
+			digests = append(digests, hex.EncodeToString(hash.Sum(nil)))
+		}
+		assert.Equal(t, digests[0], digests[1], "%d organisations", organisations)
+	}
+}
