--- a/internal/job/pimplan/health.go
+++ b/internal/job/pimplan/health.go
@@ -1,6 +1,8 @@
 package pimplan
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimhealth"
@@ -31,7 +33,7 @@
 	var selected map[string]pimhealth.Status
 	if p.health.HasSuspects() {
 		sizes := map[string]int{}
-		for _, h := range p.sortedHosts {
+		for _, h := range p.index.sorted {
 			if h.schedulable {
 				sizes[h.worker.Service]++
 			}
@@ -44,13 +46,36 @@
 			return h.worker.Service, true
 		}, sizes, now)
 	}
-	for _, h := range p.sortedHosts {
-		status := selected[h.worker.ID]
-		h.backingOff, h.probed = status != pimhealth.Used, status == pimhealth.Probed
-		if !h.probed {
-			h.probes = nil
+	for _, id := range slices.Sorted(maps.Keys(p.avoided)) {
+		if _, ok := selected[id]; !ok {
+			p.setHealth(id, pimhealth.Used)
 		}
 	}
+	p.avoided = map[string]bool{}
+	p.probedHosts = p.probedHosts[:0]
+	for _, id := range slices.Sorted(maps.Keys(selected)) {
+		p.setHealth(id, selected[id])
+	}
+}
+
+// setHealth sets whether a host is avoided or probed.
+func (p *Planner) setHealth(id string, status pimhealth.Status) {
+	h := p.hosts[id]
+	if h == nil {
+		return
+	}
+	backingOff, probed := status != pimhealth.Used, status == pimhealth.Probed
+	if backingOff != h.backingOff || probed != h.probed {
+		p.index.change(h, func() { h.backingOff, h.probed = backingOff, probed })
+	}
+	if !probed {
+		h.probes = nil
+	} else {
+		p.probedHosts = append(p.probedHosts, h)
+	}
+	if backingOff {
+		p.avoided[id] = true
+	}
 }
 
 // admitsProbe reports whether a task of the step may probe the host now. A gang that fails would cost the work of all its
--- a/internal/job/pimplan/migrate.go
+++ b/internal/job/pimplan/migrate.go
@@ -63,17 +63,16 @@
 func (p *Planner) roomElsewhere(key pimjob.TaskKey, step *pimjob.Step, from *host) *host {
 	job := p.state.Job(key.Job)
 	c := candidate{job: job, key: stepKey{key.Job, key.Occurrence, key.Step}}
-	at := slices.IndexFunc(p.sortedHosts, func(h *host) bool {
-		if h == from || !p.mayRunOn(job, step, h) || slices.Contains(p.unsuitableWorkers[key], h.worker.ID) {
-			return false
+	var found *host
+	p.eachWithRoom(job, step, func(h *host) bool {
+		if h != from && !slices.Contains(p.unsuitable(key), h.worker.ID) {
+			if _, ok := p.score(c, step, h); ok {
+				found = h
+			}
 		}
-		_, ok := p.score(c, step, h)
-		return ok
+		return found == nil
 	})
-	if at < 0 {
-		return nil
-	}
-	return p.sortedHosts[at]
+	return found
 }
 
 // finishesSoonerElsewhere compares the remaining time of a run at its present speed with that on
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -19,14 +19,20 @@
 	// class that is at least as large in every resource finds none either.
 	unplaceable map[equivalenceClass][]pimjob.Resources
 
-	// hostHeap is a heap of hosts for the tasks of one step, with the best on top.
+	// hostHeap is a heap of hosts for the tasks of one step, with the best on top. Its scan, if there is one, finds more.
 	hostHeap struct {
 		hosts []scoredHost
+		scan  *hostScan
+		// A shared heap has hosts without room for the step, too. Ranked replaces it for a step once it has met too many.
+		shared bool
+		ranked *hostHeap
 	}
 
+	// scoredHost is a host with its score at a version.
 	scoredHost struct {
-		host  *host
-		score float64
+		host    *host
+		score   float64
+		version uint64
 	}
 )
 
@@ -106,9 +112,9 @@
 	if p.waits.appliesTo(step) && !c.starved {
 		return p.placeNear(c, step, unplaced, placements, plan)
 	}
-	ranked := p.rankHosts(c, step, "")
+	ranked := p.rankShared(c, step)
 	// A step that has reached MaxPerWorker everywhere tells nothing about others of its class.
-	if ranked.Len() == 0 && step.MaxPerWorker == 0 && !c.starved {
+	if !p.hasHost(ranked) && step.MaxPerWorker == 0 && !c.starved {
 		class := equivalenceClassOf(&c.job.Queue, step)
 		unplaced[class] = append(unplaced[class], step.Need)
 		return placements
@@ -149,9 +155,16 @@
 	if !quota.admits(step.Need, len(c.tasks)) {
 		return placements
 	}
-	racks := []string{""}
+	reserved, count := step.Reserved(), int64(len(c.tasks))
+	together := pimjob.Resources{
+		Millicores: count * reserved.Millicores, MemoryMB: count * reserved.MemoryMB, GPUs: count * reserved.GPUs,
+	}
+	if pool := p.index.pools[c.job.Queue.Service]; pool == nil || !pool.total.Fits(together) {
+		return placements
+	}
+	var racks []string
 	if step.SameRack {
-		racks = append(slices.Clone(p.hostTopology().racks), "")
+		racks = p.hostTopology().racks
 	}
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	// All members get the same run number, by which their failures are counted once.
@@ -159,8 +172,15 @@
 	for i := range state.Tasks {
 		number = max(number, state.Tasks[i].LastRun+1)
 	}
-	for _, rack := range racks {
-		ranked := p.rankHosts(c, step, rack)
+	for i := range len(racks) + 1 {
+		var ranked *hostHeap
+		if i == len(racks) {
+			ranked = p.rankHosts(c, step, "")
+		} else if !p.hostTopology().byRack[racks[i]].free.Fits(together) {
+			continue
+		} else {
+			ranked = p.rankHosts(c, step, racks[i])
+		}
 		var chosen []placement
 		for _, index := range c.tasks {
 			if h := p.takeBestHost(c, step, c.taskKey(index), ranked); h != nil {
@@ -194,11 +214,10 @@
 // rankHosts returns the hosts that can take a task of the step. A rack other than "" limits them to
 // that rack.
 func (p *Planner) rankHosts(c candidate, step *pimjob.Step, rack string) *hostHeap {
-	hosts := p.sortedHosts
 	if rack != "" {
-		hosts = p.hostTopology().byRack[rack]
+		return p.rank(c, step, p.hostTopology().byRack[rack].hosts, nil)
 	}
-	return p.rank(c, step, hosts, nil)
+	return p.rankPool(c, step, nil)
 }
 
 // rank returns those of the hosts that can take a task of the step and that the filter, if there is one, includes.
@@ -209,7 +228,7 @@
 			continue
 		}
 		if score, ok := p.score(c, step, h); ok {
-			ranked.hosts = append(ranked.hosts, scoredHost{h, score})
+			ranked.hosts = append(ranked.hosts, scoredHost{h, score, h.version})
 		}
 	}
 	heap.Init(ranked)
@@ -218,17 +237,31 @@
 
 // mayRunOn reports whether a host may get new runs and is of the kind that the step needs.
 func (p *Planner) mayRunOn(job *pimjob.Job, step *pimjob.Step, h *host) bool {
+	p.refreshHost(h)
 	return h.schedulable && !h.reserved && h.worker.Service == job.Queue.Service && h.worker.HasLabel(step.RequiredLabel)
 }
 
 // takeBestHost assigns a task to the best host and returns it, or nil. A host on which the task
 // failed or was slow is taken only if no other can take it.
 func (p *Planner) takeBestHost(c candidate, step *pimjob.Step, key pimjob.TaskKey, ranked *hostHeap) *host {
-	var skipped []scoredHost
+	if ranked.ranked != nil {
+		ranked = ranked.ranked
+	}
+	var skipped, misfits []scoredHost
 	var found *host
-	for ranked.Len() > 0 && found == nil {
+	unsuitable := p.unsuitable(key)
+	for found == nil && p.hasHost(ranked) {
+		if ranked.shared && len(skipped)+len(misfits) == maxMisfits {
+			ranked.putBack(append(skipped, misfits...))
+			ranked.ranked = p.rankHosts(c, step, "")
+			return p.takeBestHost(c, step, key, ranked)
+		}
 		entry := heap.Pop(ranked).(scoredHost)
-		if slices.Contains(p.unsuitableWorkers[key], entry.host.worker.ID) {
+		if ranked.shared && !entry.host.free.Fits(step.Reserved()) {
+			misfits = append(misfits, entry)
+			continue
+		}
+		if slices.Contains(unsuitable, entry.host.worker.ID) {
 			skipped = append(skipped, entry)
 			continue
 		}
@@ -238,15 +271,24 @@
 		found = skipped[0].host
 		skipped = skipped[1:]
 	}
-	for _, entry := range skipped {
-		heap.Push(ranked, entry)
-	}
+	ranked.putBack(skipped)
+	ranked.putBack(misfits)
 	if found == nil {
 		return nil
 	}
 	found.add(key, step)
 	if score, ok := p.score(c, step, found); ok {
-		heap.Push(ranked, scoredHost{found, score})
+		heap.Push(ranked, scoredHost{found, score, found.version})
+		if changed := found.pool.changed; ranked.shared && len(changed) > 0 {
+			// The heap has the new score already.
+			found.pool.changed = changed[:len(changed)-1]
+		}
 	}
 	return found
 }
+
+func (h *hostHeap) putBack(entries []scoredHost) {
+	for _, entry := range entries {
+		heap.Push(h, entry)
+	}
+}
