Complete the comments of pimplan and wrap its long lines

Several unexported functions, types and fields that were added with delay scheduling, the host index and leaving hosts had no comment, or one that named no unit. FindByKey says why it goes on after a match.

Only comments and line breaks change; behaviour is unchanged. make check and the tests of pimplan and pimorganisation pass.

--- a/internal/base/pimorganisation/organisation.go
+++ b/internal/base/pimorganisation/organisation.go
@@ -79,7 +79,8 @@
 	return found == 1 && key != ""
 }
 
-// FindByKey returns the organisation with a key, or nil.
+// FindByKey returns the organisation with a key, or nil. It compares all keys, so that its duration doesn't tell which
+// organisation has the key.
 func FindByKey(organisations []Organisation, key string) *Organisation {
 	var found *Organisation
 	for i := range organisations {
--- a/internal/job/pimplan/delay.go
+++ b/internal/job/pimplan/delay.go
@@ -26,22 +26,25 @@
 		durations waitDurations
 		// byJob holds the tasks that wait or have waited and have not started yet.
 		byJob map[string]map[pimjob.TaskKey]*taskWait
-		// arrivals is the work in core-milliseconds that arrived lately for a label, by label, with a weight that falls
+		// arrivals is the work in core-milliseconds that arrived lately for each preferred label, with a weight that falls
 		// with its age. Seen holds the steps that are counted in it.
 		arrivals map[string]float64
 		seen     map[stepKey]bool
-		// demand is the processor time that tasks with a preferred label request, by label. It decays after they have
-		// started.
+		// demand is the processor time in thousandths of a core that waiting tasks request, by preferred label. It decays
+		// after they have started.
 		demand map[string]float64
 		// contested are the hosts whose contention is not 0.
 		contested []*host
+		// plannedAt is the time of the last plan, up to which arrivals and demand have decayed.
 		plannedAt time.Duration
 		plan      planWaits
 	}
 
 	// planWaits is what the decisions of one plan share.
 	planWaits struct {
+		// wallClock is the time of the plan in milliseconds since 1970.
 		wallClock int64
+		// forecasts holds the hosts that were forecast, with the claims of the tasks that wait for them.
 		forecasts map[*host]*pimwait.Host
 		// waitingNeed is what the tasks that are not placed yet request, by service.
 		waitingNeed map[string]pimjob.Resources
@@ -52,7 +55,9 @@
 		rackOrder map[string][]string
 	}
 
+	// taskWait is the wait of a task, which may have ended.
 	taskWait struct {
+		// expected is the wait that was expected when it began.
 		expected time.Duration
 		// ended means that the task no longer waits, so that it doesn't wait again while no other host has room.
 		ended bool
@@ -77,9 +82,10 @@
 // Configure sets the planner's settings.
 func (p *Planner) Configure(settings Settings) { p.waits.settings = settings }
 
+// enabled reports whether any task may wait.
 func (w *waits) enabled() bool { return w.settings.RemoteFactor > 1 && !w.settings.StartAtOnce }
 
-// begin prepares the decisions of a plan.
+// begin prepares the decisions of a plan: it updates what is in demand and counts the waiting tasks.
 func (w *waits) begin(p *Planner, candidates []candidate, now time.Duration, wallClock int64) {
 	if !w.enabled() {
 		return
@@ -129,7 +135,9 @@
 
 // placeNear starts the tasks of a step on hosts with its preferred label as far as these have room. The others wait or
 // start on other hosts, which are ranked only if they are needed.
-func (p *Planner) placeNear(c candidate, step *pimjob.Step, unplaced unplaceable, placements []placement, plan *Plan) []placement {
+func (p *Planner) placeNear(
+	c candidate, step *pimjob.Step, unplaced unplaceable, placements []placement, plan *Plan,
+) []placement {
 	quota := p.quotaOf(c.job)
 	state := &c.job.Occurrences[c.key.occurrence].Steps[c.key.step]
 	isNear := func(h *host) bool { return h.worker.HasLabel(step.PreferredLabel) }
@@ -202,6 +210,7 @@
 	return preferred
 }
 
+// mayWaitFor reports whether the tasks of a step may run on a host once it has room for them.
 func (p *Planner) mayWaitFor(c candidate, step *pimjob.Step, h *host) bool {
 	return p.mayRunOn(c.job, step, h) && !h.backingOff
 }
@@ -220,7 +229,7 @@
 	return p.applyDecision(c, tasks, request, pimwait.Decide(request), plan)
 }
 
-// waitRequest returns the request for tasks of a step without its preferred hosts.
+// waitRequest returns the request to decide on for tasks of a step. The caller adds the forecast of the preferred hosts.
 func (p *Planner) waitRequest(c candidate, step *pimjob.Step, tasks []int) pimwait.Request {
 	w := &p.waits
 	key := c.taskKey(tasks[0])
--- a/internal/job/pimplan/delay_demand.go
+++ b/internal/job/pimplan/delay_demand.go
@@ -48,6 +48,7 @@
 	return max(0, w.arrivals[step.PreferredLabel]-own) / max(1, cores*float64(arrivalWindow.Milliseconds()))
 }
 
+// addWaiting adds tasks that are not placed yet, or removes them if count is negative.
 func (w *planWaits) addWaiting(job *pimjob.Job, reserved pimjob.Resources, count int64) {
 	known := w.waitingNeed[job.Queue.Service]
 	w.waitingNeed[job.Queue.Service] = known.Plus(pimjob.Resources{
--- a/internal/job/pimplan/delay_forecast.go
+++ b/internal/job/pimplan/delay_forecast.go
@@ -14,6 +14,7 @@
 	// where the estimates of its queue are accurate, else from the learned durations.
 	waitDurations struct{ model *pimduration.Model }
 
+	// roomKey is the key by which a plan caches the results of hasRoomForWaiting.
 	roomKey struct {
 		service, requiredLabel string
 		need                   pimjob.Resources
@@ -61,7 +62,7 @@
 	return time.Duration(max(whole-float64(elapsed), minLeftShare*float64(estimate)))
 }
 
-// forecast returns the forecast for hosts with the claims of the tasks ahead in the plan.
+// forecast returns when hosts will have room, less what tasks ahead in the plan have claimed.
 func (p *Planner) forecast(hosts []*host) pimwait.Forecast {
 	forecast := make(pimwait.Forecast, 0, len(hosts))
 	for _, h := range hosts {
--- a/internal/job/pimplan/hostindex.go
+++ b/internal/job/pimplan/hostindex.go
@@ -88,6 +88,7 @@
 		need.idleMillicores <= r.idleMillicores
 }
 
+// raise raises each amount to that of other, if that is larger.
 func (r *room) raise(other *room) {
 	r.millicores = max(r.millicores, other.millicores)
 	r.memoryMB = max(r.memoryMB, other.memoryMB)
@@ -109,6 +110,7 @@
 // only tasks of starved jobs and of long-running steps.
 func (h *host) isAvailable() bool { return h.schedulable && !h.backingOff && !h.reserved }
 
+// room returns what an available host can still take, or noRoom.
 func (h *host) room() room {
 	if !h.isAvailable() {
 		return noRoom
@@ -230,6 +232,7 @@
 	}
 }
 
+// buildLevels builds the inner nodes of the tree from its leaves.
 func (pool *hostPool) buildLevels() {
 	pool.levels = pool.levels[:1]
 	for below := pool.levels[0]; len(below) > poolFanOut; {
--- a/internal/job/pimplan/leaving.go
+++ b/internal/job/pimplan/leaving.go
@@ -68,6 +68,7 @@
 	}
 }
 
+// setDraining records whether a host is draining.
 func (s *leavingState) setDraining(id string, draining bool) {
 	if draining {
 		s.draining[id] = true
@@ -190,8 +191,11 @@
 	return runs
 }
 
-// leavingRunOf returns a live run with its last report. A run that is not listed yet has made no progress.
-func (p *Planner) leavingRunOf(live pimjob.LiveRun, h *host, reported map[pimjob.TaskKey]pimfleet.ObservedRun) (leavingRun, bool) {
+// leavingRunOf returns a live run with its last report, or false if its task is unknown or its job has ended. A run that is not listed yet has
+// made no progress.
+func (p *Planner) leavingRunOf(
+	live pimjob.LiveRun, h *host, reported map[pimjob.TaskKey]pimfleet.ObservedRun,
+) (leavingRun, bool) {
 	_, step, job := p.state.Task(live.Key)
 	if step == nil || job.State.IsEnded() {
 		return leavingRun{}, false
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -135,6 +135,7 @@
 	}
 }
 
+// stepPaceOf returns the paces of the step of a task, with a new entry for an unknown step.
 func (p *Planner) stepPaceOf(key pimjob.TaskKey) *stepPace {
 	id := stepKey{key.Job, key.Occurrence, key.Step}
 	if p.pace.steps[id] == nil {
--- a/internal/job/pimplan/queue.go
+++ b/internal/job/pimplan/queue.go
@@ -34,6 +34,7 @@
 
 func (e queueEntry) candidate() *candidate { return &e.waiting.candidates[e.index] }
 
+// compareEntries gives the order of a candidateQueue.
 func compareEntries(e, other queueEntry) int {
 	a, b := e.candidate(), other.candidate()
 	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.deadlines.due, b.deadlines.due),
--- a/internal/job/pimplan/quota.go
+++ b/internal/job/pimplan/quota.go
@@ -31,6 +31,7 @@
 	return q == nil || q.organisation.Admits(q.used, need.Amounts(), count)
 }
 
+// add counts tasks that start in the current plan.
 func (q *quotaUse) add(need pimjob.Resources, count int) {
 	if q != nil {
 		q.used = q.used.Add(need.Amounts().Times(int64(count)))
--- a/internal/job/pimplan/reserve.go
+++ b/internal/job/pimplan/reserve.go
@@ -94,7 +94,8 @@
 // them have ended. Those with the most free processor time come first, so that the next plan chooses the same ones.
 func (p *Planner) reserve(c candidate, shares *pimshare.Shares, plan *Plan) {
 	r, step := &p.shares.reservations, &c.job.Submission.Steps[c.key.step]
-	if !c.starved || step.BestEffort || !isLargePart(step, c.together(step), r.smallest) || r.abandoned[c.key] || !p.quotaOf(c.job).admits(step.Need, c.together(step)) {
+	if !c.starved || step.BestEffort || !isLargePart(step, c.together(step), r.smallest) || r.abandoned[c.key] ||
+		!p.quotaOf(c.job).admits(step.Need, c.together(step)) {
 		return
 	}
 	since, ok := r.since[c.key]
--- a/internal/job/pimplan/scan.go
+++ b/internal/job/pimplan/scan.go
@@ -25,6 +25,8 @@
 		position, start, end int
 	}
 
+	// scanStage is the group of hosts that a scan considers next. The stages follow each other in the order of the
+	// constants; scanPreferred may be left out.
 	scanStage int
 )
 
@@ -43,7 +45,9 @@
 	if pool == nil {
 		return ranked
 	}
-	scan := &hostScan{c: c, step: step, includes: includes, need: neededRoom(step, c.starved), afterProbed: scanPool, end: len(pool.hosts)}
+	scan := &hostScan{
+		c: c, step: step, includes: includes, need: neededRoom(step, c.starved), afterProbed: scanPool, end: len(pool.hosts),
+	}
 	if !p.index.isExact() {
 		scan.position, scan.start = pool.offset, pool.offset
 		if preferred := p.hostTopology().byLabel[step.PreferredLabel]; includes == nil && step.PreferredLabel != "" &&
@@ -56,8 +60,9 @@
 	return ranked
 }
 
-// rankShared returns the hosts that can take a task of the step, or if its scores depend on nothing but the host, a heap that
-// all such steps share and that is kept from plan to plan. The hosts that have changed since its last use are added with their new scores.
+// rankShared returns the hosts that can take a task of the step. If its scores depend on nothing but the host, it returns
+// a heap that all such steps share and that is kept from plan to plan; the hosts that have changed since its last use are
+// added with their new scores.
 func (p *Planner) rankShared(c candidate, step *pimjob.Step) *hostHeap {
 	pool := p.index.pools[c.job.Queue.Service]
 	if pool == nil || step.BestEffort || step.TargetLatency > 0 || step.LongRunning || step.MaxPerWorker > 0 ||
--- a/internal/job/pimplan/shares.go
+++ b/internal/job/pimplan/shares.go
@@ -276,6 +276,7 @@
 	return int64(count) * step.Need.Millicores * step.Estimate.Milliseconds()
 }
 
+// compareOverRate orders jobs within the rate of their organisation before those over it.
 func compareOverRate(a, b bool) int {
 	switch {
 	case a == b:
