Split pimrelay/relays.go and pimcontrol/leadership.go by topic

In pimrelay, the routes of workers after failed renewals move to routes.go and the contact with relays to contact.go; a local variable that held a route was called at, like the time in OnContact. In pimcontrol, the calls to workers move to calls.go (with Control.onResult, from control.go) and the reads to reads.go (with enqueueRead, from requests.go); the reports of reservations move from Control.plan to reportReservations in report.go, called at the same place.

Behaviour is unchanged. make check and the tests of pimrelay and pimcontrol pass.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -408,17 +408,6 @@
 	return nil
 }
 
-// onResult passes the result of a call to the fleet of the leadership that made the call. A result that comes after
-// that leadership has ended is dropped: the fleet of a later one has made no such call.
-func (c *Control) onResult(e resultEvent) {
-	if c.leadership == nil || !c.leadership.ready || c.leadership.term != e.term {
-		c.metrics.Add("late-results", 1)
-		return
-	}
-	c.leadership.relays.Observe(e.result, c.now)
-	c.leadership.fleet.OnResult(e.result, c.now)
-}
-
 func (c *Control) onPeer(e peerEvent) {
 	c.peerBytes.Add(-int64(pimmessage.SizeOf(e.message)))
 	switch message := e.message.(type) {
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -69,22 +69,12 @@
 
 	// responder sends the response to a request.
 	responder func(response pimrpc.Response)
-
-	// pendingRead is a request whose response is read from the state once the leadership is
-	// confirmed for a time after receivedAt.
-	pendingRead struct {
-		receivedAt time.Duration
-		evaluate   func() pimrpc.Response
-		respond    responder
-	}
 )
 
 const (
 	// maxProposed is how many entries may be uncommitted at a time: a second one may be proposed while
 	// the first one is synced to disk.
 	maxProposed = 2
-	// confirmInterval is the minimum time between confirmations of the leadership for reads.
-	confirmInterval = 4 * time.Millisecond
 	// planInterval is the minimum time between plans, so that a burst of new jobs and ended runs is
 	// planned at once.
 	planInterval = 8 * time.Millisecond
@@ -142,6 +132,7 @@
 	}
 }
 
+// respond sends a response to all requests that wait for the commit.
 func (p proposal) respond(response pimrpc.Response) {
 	for _, respond := range p.responders {
 		respond(response)
@@ -179,6 +170,7 @@
 	c.adjustMembers()
 }
 
+// nextTick returns when tickLeadership is next to be called.
 func (l *leadership) nextTick(c *Control) time.Duration {
 	if !l.ready {
 		return c.now + planInterval
@@ -216,50 +208,6 @@
 	}
 }
 
-// call makes a call to a worker, itself or through a relay. The call is not sent once another leader may have been
-// elected, which may send commands of its own.
-func (c *Control) call(ctx context.Context, call pimfleet.Call) {
-	term, validUntil := c.leadership.term, c.replica.QuorumAckedAt(c.now)+commandValidity
-	if c.callThroughRelay(call, validUntil) {
-		return
-	}
-	accepted := c.callWorker(ctx, call, func() bool { return pimclock.Now() < validUntil }, func(result pimfleet.Result) {
-		select {
-		case c.events <- resultEvent{term, result}:
-		case <-ctx.Done():
-		}
-	})
-	if !accepted {
-		c.metrics.CountShed("worker-calls")
-		c.leadership.fleet.OnResult(pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}, c.now)
-	}
-}
-
-// callWorker makes a call in the background, unless it is no longer valid by then, and passes its result on. It returns
-// false if there is no space for the call.
-func (c *Control) callWorker(
-	ctx context.Context, call pimfleet.Call, isValid func() bool, onResult func(result pimfleet.Result),
-) bool {
-	pool := c.commands
-	if _, ok := call.(pimfleet.RenewLease); ok {
-		pool = c.renewals
-	}
-	workers := c.workers
-	_, accepted := pool.TrySubmit(func() {
-		result := pimfleet.Result{Call: call, Outcome: pimfleet.OutcomeNotSent}
-		if isValid() {
-			result = workers.Call(ctx, call)
-		}
-		onResult(result)
-	})
-	return accepted
-}
-
-// commandValidity is how long a command may still be sent after the newest request that a majority of
-// the voters answered was sent to them. No other leader can be elected before
-// pimconsensus.ElectionTimeout has passed, which is longer.
-const commandValidity = pimconsensus.LeaseDuration
-
 // plan makes a plan if one is due and the starts of the last plan are committed.
 func (c *Control) plan(ctx context.Context) {
 	l := c.leadership
@@ -291,11 +239,7 @@
 	}
 	c.reportStops(plan.StopReport)
 	c.reportHealth(plan.HealthChanges)
-	for _, reservation := range plan.Reservations {
-		c.logger.Info().Stringer("task", reservation.Key).Int("tasks", reservation.Tasks).Int("hosts", reservation.Hosts).
-			Msg("reservation of hosts for a large start is begun, or given up if there are no hosts")
-		c.metrics.Add("reservations", 1)
-	}
+	c.reportReservations(plan.Reservations)
 	for _, throttle := range plan.Throttles {
 		l.fleet.Throttle(throttle.Worker, throttle.Key, throttle.Number, throttle.SpeedPercent, c.now)
 	}
@@ -367,30 +311,6 @@
 	}
 }
 
-// answerReads responds to the reads that were received before the time for which the leadership is
-// confirmed, and asks for a new confirmation for the others.
-func (c *Control) answerReads() {
-	l := c.leadership
-	if len(l.reads) == 0 {
-		return
-	}
-	confirmed, ok := c.replica.LeadershipConfirmedAt(c.now)
-	reads := l.reads
-	l.reads = nil
-	for _, read := range reads {
-		if ok && read.receivedAt < confirmed {
-			read.respond(read.evaluate())
-		} else {
-			l.reads = append(l.reads, read)
-		}
-	}
-	if len(l.reads) > 0 && c.now >= l.nextConfirmAt {
-		l.nextConfirmAt = c.now + confirmInterval
-		c.replica.ConfirmLeadership(c.now)
-		c.flush()
-	}
-}
-
 // handOver transfers the leadership to the most up-to-date reachable voter after StepDown was called.
 func (c *Control) handOver() {
 	if !c.steppingDown || !c.replica.IsLeader() || c.now < c.nextHandoverAt {
--- a/internal/job/pimcontrol/organisations.go
+++ b/internal/job/pimcontrol/organisations.go
@@ -127,6 +127,7 @@
 	return collected
 }
 
+// dominantShare returns the largest part of the capacity that is used of any resource.
 func dominantShare(used, capacity pimorganisation.Resources) float64 {
 	share := func(used, total int64) float64 { return float64(used) / float64(max(1, total)) }
 	return max(share(used.CPUMillis, capacity.CPUMillis), share(used.MemoryMB, capacity.MemoryMB),
--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -75,6 +75,7 @@
 		Bool("estimate-accurate", stop.EstimateAccurate)
 }
 
+// reportStop logs and counts a run that the planner stops.
 func (c *Control) reportStop(stop pimplan.StopRun) {
 	entry := c.logger.Info().Stringer("task", stop.Key).Int("run", stop.Number).Str("worker", stop.Worker).Str("why", stop.Reason)
 	logStop(entry, stop.Decision).Msg("planner stops a run")
@@ -107,3 +108,12 @@
 		}
 	}
 }
+
+// reportReservations logs and counts the reservations of hosts that began or were given up.
+func (c *Control) reportReservations(reservations []pimplan.Reservation) {
+	for _, reservation := range reservations {
+		c.logger.Info().Stringer("task", reservation.Key).Int("tasks", reservation.Tasks).Int("hosts", reservation.Hosts).
+			Msg("reservation of hosts for a large start is begun, or given up if there are no hosts")
+		c.metrics.Add("reservations", 1)
+	}
+}
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -102,12 +102,6 @@
 	}
 }
 
-// enqueueRead responds with the result of evaluate once this leadership is confirmed, so that a
-// leader that was replaced doesn't respond from an outdated state.
-func (l *leadership) enqueueRead(c *Control, respond responder, evaluate func() pimrpc.Response) {
-	l.reads = append(l.reads, pendingRead{receivedAt: c.now, evaluate: evaluate, respond: respond})
-}
-
 // enqueueWrite responds once the operations are committed to the log.
 func (l *leadership) enqueueWrite(respond responder, ops ...pimjob.Op) {
 	l.pending.ops = append(l.pending.ops, ops...)
--- a/internal/job/pimrelay/relays.go
+++ b/internal/job/pimrelay/relays.go
@@ -17,12 +17,14 @@
 type (
 	// Relays is the leader's view of the other control daemons during one term. All its times are on the leader's clock.
 	Relays struct {
-		self  Daemon
+		self Daemon
+		// now is the time of the last Tick, and begun is set after the first one.
 		now   time.Duration
 		begun bool
 
 		enabled bool
-		budget  int
+		// budget is how many connections to workers the leader may have open.
+		budget int
 		// reassign is set when the daemons in use or the workers have changed since the last assignment.
 		reassign bool
 		workers  []Worker
@@ -40,31 +42,7 @@
 		changes []Change
 	}
 
-	// relay is a member of the job group other than the leader, or was one until its calls have ended.
-	relay struct {
-		member bool
-		domain string
-		// contactAt is the time of the last message, 0 before the first one. contactSince is when the present period of
-		// contact began.
-		contactAt    time.Duration
-		contactSince time.Duration
-		usable       bool
-		// losses counts how often the relay was lost within lossMemory of each other.
-		losses int
-		// inFlight counts the calls without a result, unanswered those that ended without one since the last result.
-		inFlight   int
-		unanswered int
-	}
-
-	// route is how the calls to a worker go after failed renewals.
-	route struct {
-		// detour counts how often the route was changed, failures the failed renewals since then.
-		detour   int
-		failures int
-		// until is when the assigned daemon is tried again.
-		until time.Duration
-	}
-
+	// pendingCall is a relayed call without a result.
 	pendingCall struct {
 		call     pimfleet.Call
 		relay    string
@@ -74,8 +52,8 @@
 	// Change is an entry for the daemon's own log.
 	Change struct {
 		Text string
-		// Relay is the relay that the change is about, empty for one of the mode. Calls is the number of calls that ended
-		// with it.
+		// Relay is the relay that the change is about, empty if the leader begins or ceases to use relays. Calls is the
+		// number of calls that ended with it.
 		Relay string
 		Calls int
 		// Workers, Budget and Daemons are the inputs of the decision.
@@ -84,34 +62,15 @@
 )
 
 const (
-	// ContactTimeout is the time without contact after which a relay is not used. A relay answers a consensus message
-	// every 100 ms, and the lease of a worker lasts several times as long.
-	ContactTimeout = time.Second
-	// returnDelay is how long a relay that was lost must be in contact before it is used again, so that a relay that
-	// comes and goes doesn't take its workers along each time. It doubles with each loss, up to maxReturnDelay, until the
-	// relay was used for lossMemory.
-	returnDelay    = 2 * time.Second
-	maxReturnDelay = 32 * time.Second
-	lossMemory     = time.Minute
 	// executionTimeout is how long a relay waits for a worker's response to a call that isn't held by the worker.
 	executionTimeout = 500 * time.Millisecond
 	// relayAllowance is the time for the way through the relay, its queues included.
 	relayAllowance = 500 * time.Millisecond
-	// maxUnanswered is the number of calls without any answer in between after which a relay counts as lost although
-	// its consensus messages arrive.
-	maxUnanswered = 3
 	// sweepInterval is the time between checks for calls without an answer.
 	sweepInterval = 50 * time.Millisecond
 	// pauseThreshold is the time between ticks from which the leader itself counts as paused. What arrived meanwhile is
 	// not handled yet, so the pause isn't held against the relays. The leader ticks at least every sweepInterval.
 	pauseThreshold = 300 * time.Millisecond
-	// failuresOfAssigned and failuresOfDetour are the failed renewals after which the next route is tried. Three failed
-	// renewals take 3.5 s at most, with the long poll of the first and the delays between them, so that the leader itself
-	// calls the worker before a lease of 5 s expires.
-	failuresOfAssigned = 2
-	failuresOfDetour   = 1
-	// detourDuration is how long a worker that its assigned daemon couldn't reach is called by another one.
-	detourDuration = 30 * time.Second
 )
 
 // NewRelays returns the relays of a leader whose term begins now. It uses none before SetWorkers was called.
@@ -165,18 +124,6 @@
 	}
 }
 
-// OnContact records a message of a relay at a time.
-func (r *Relays) OnContact(id string, at time.Duration) {
-	relay := r.relays[id]
-	if relay == nil || at <= relay.contactAt {
-		return
-	}
-	if relay.contactAt == 0 || at-relay.contactAt > ContactTimeout {
-		relay.contactSince = at
-	}
-	relay.contactAt = at
-}
-
 // Send returns the relay through which a call is to be made and the ID of the relayed call, or an empty string if the
 // leader makes the call itself.
 func (r *Relays) Send(call pimfleet.Call, now time.Duration) (string, uint64) {
@@ -218,77 +165,6 @@
 	return pending.call, true
 }
 
-// Observe adjusts the route of a worker to the result of a call. It is to be called for each result that isn't from Tick,
-// whether the call was relayed or not.
-func (r *Relays) Observe(result pimfleet.Result, now time.Duration) {
-	if _, ok := result.Call.(pimfleet.RenewLease); !ok || !r.enabled {
-		return
-	}
-	worker := pimfleet.TargetOf(result.Call).ID
-	at := r.routes[worker]
-	if result.Outcome != pimfleet.OutcomeUnknown && result.Outcome != pimfleet.OutcomeNotSent {
-		if at != nil {
-			at.failures = 0
-		}
-		return
-	}
-	if at == nil {
-		at = &route{}
-		r.routes[worker] = at
-	}
-	at.failures++
-	limit := failuresOfAssigned
-	if at.detour > 0 {
-		limit = failuresOfDetour
-	}
-	if at.failures >= limit {
-		at.detour = (at.detour + 1) % len(r.choices(worker))
-		at.failures = 0
-		at.until = now + detourDuration
-	}
-}
-
-// routeOf returns the relay for a worker, or an empty string for the leader itself.
-func (r *Relays) routeOf(worker string, now time.Duration) string {
-	if !r.enabled {
-		return ""
-	}
-	r.assign()
-	id := r.assigned[worker]
-	if at := r.routes[worker]; at != nil {
-		switch {
-		case at.detour > 0 && now >= at.until:
-			// One more failure leads back to the detour.
-			at.detour, at.failures = 0, failuresOfAssigned-1
-		case at.detour > 0:
-			choices := r.choices(worker)
-			id = choices[at.detour%len(choices)]
-		}
-	}
-	if relay := r.relays[id]; relay == nil || !relay.usable {
-		return ""
-	}
-	return id
-}
-
-// choices returns the routes to a worker in the order in which they are tried: the assigned daemon, the next one in the
-// worker's order of preference, and the leader itself as an empty string.
-func (r *Relays) choices(worker string) []string {
-	r.assign()
-	assigned := r.assigned[worker]
-	if assigned == "" {
-		assigned = r.self.ID
-	}
-	choices := []string{assigned}
-	for _, daemon := range ranked(Worker{ID: worker, Domain: r.domains[worker]}, r.daemons()) {
-		if daemon.ID != assigned && daemon.ID != r.self.ID {
-			choices = append(choices, daemon.ID)
-			break
-		}
-	}
-	return append(choices, "")
-}
-
 // daemons returns the daemons that may call workers: the leader and the usable relays.
 func (r *Relays) daemons() []Daemon {
 	daemons := []Daemon{r.self}
@@ -300,6 +176,7 @@
 	return daemons
 }
 
+// assign distributes the workers over the daemons anew if that is due.
 func (r *Relays) assign() {
 	if !r.reassign {
 		return
@@ -360,41 +237,6 @@
 	r.now, r.begun = now, true
 }
 
-// updateRelay updates whether a relay is usable and returns true if it was lost.
-func (r *Relays) updateRelay(id string) bool {
-	relay := r.relays[id]
-	inContact := relay.member && relay.contactAt != 0 && r.now-relay.contactAt < ContactTimeout
-	switch {
-	case relay.usable && (!inContact || relay.unanswered >= maxUnanswered):
-		relay.usable = false
-		if r.now-relay.contactSince > lossMemory {
-			relay.losses = 0
-		}
-		relay.losses++
-		relay.unanswered = 0
-		relay.contactSince = r.now
-		r.reassign = true
-		r.report("control daemon is not used as a relay: it doesn't answer", id, relay.inFlight)
-		return true
-	case !relay.usable && inContact && r.now-relay.contactSince >= relay.returnDelay():
-		relay.usable = true
-		r.reassign = true
-		if relay.losses > 0 {
-			r.report("control daemon is used as a relay again", id, 0)
-		}
-	case !relay.usable && !relay.member && relay.inFlight == 0:
-		delete(r.relays, id)
-	}
-	return false
-}
-
-func (r *relay) returnDelay() time.Duration {
-	if r.losses == 0 {
-		return 0
-	}
-	return min(maxReturnDelay, returnDelay<<min(r.losses-1, 8))
-}
-
 // Next returns when Tick is next to be called, or an hour from the last Tick if no relays are used.
 func (r *Relays) Next() time.Duration {
 	if !r.enabled && len(r.pending) == 0 {
@@ -410,6 +252,7 @@
 	return changes
 }
 
+// forget removes a call that has ended.
 func (r *Relays) forget(id uint64, pending pendingCall) {
 	delete(r.pending, id)
 	if relay := r.relays[pending.relay]; relay != nil {
@@ -417,6 +260,7 @@
 	}
 }
 
+// report adds a change to log, with the inputs of the decision.
 func (r *Relays) report(text, relay string, calls int) {
 	r.changes = append(r.changes, Change{
 		Text: text, Relay: relay, Calls: calls, Workers: len(r.workers), Budget: r.budget, Daemons: len(r.daemons()),
