Send a speed to the best-effort runs of an earlier leader

Cause: a new leader took all inherited runs to run at full speed. Change: the speed of an inherited best-effort run is unknown until its worker has confirmed one; the planner sends one with the first report, whatever the headroom, and does not judge its progress before.

--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -97,6 +97,9 @@
 	unhealthyBackoff = time.Second
 )
 
+// unknownSpeed differs from all speeds that can be requested.
+const unknownSpeed = -1
+
 // NewFleet returns the fleet of a leader whose term begins now. Leases that earlier leaders granted
 // expire one lease duration from now at the latest.
 func NewFleet(policy Policy, term uint64, state *pimjob.State, now time.Duration) *Fleet {
@@ -117,8 +120,10 @@
 	}
 	for key, live := range f.state.RunsOn(worker.ID) {
 		if live.Run.Generation == worker.Generation {
+			_, step, _ := f.state.Task(key)
 			w.runs[runID{key, live.Run.Number}] = &trackedRun{
 				live: live, state: inherited, speedPercent: 100, wantedSpeedPercent: 100,
+				speedUnknown: step != nil && step.BestEffort,
 			}
 		}
 	}
@@ -285,7 +290,10 @@
 func (f *Fleet) Throttle(worker string, key pimjob.TaskKey, number, percent int, now time.Duration) {
 	f.now = now
 	if w := f.workers[worker]; w != nil {
-		if run := w.runs[runID{key, number}]; run != nil && run.wantedSpeedPercent != percent {
+		if run := w.runs[runID{key, number}]; run != nil && (run.speedUnknown || run.wantedSpeedPercent != percent) {
+			if run.speedUnknown {
+				run.speedPercent = unknownSpeed
+			}
 			run.wantedSpeedPercent = percent
 			run.progressedAt = 0
 			f.advanceRun(w, run)
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -174,3 +174,23 @@
 	}, s.now)
 	assert.Equal(t, len(s.fleet.ObservedRuns("w1")), 0)
 }
+
+// TestSpeedOfInheritedRuns guards against a leader that takes the best-effort runs of an earlier one, which may have paused
+// them, to run at full speed, so that it never sends them a speed.
+func TestSpeedOfInheritedRuns(t *testing.T) {
+	s := newSimulation(t, 7, "w1")
+	s.workers["w1"].neverFinishes = true
+	s.run(time.Second)
+	s.apply(pimjob.Submit{
+		Submission: pimjob.Submission{ID: "a", Steps: []pimjob.Step{{Count: 1, Estimate: time.Second, BestEffort: true}}},
+		Queue:      pimjob.Queue{Name: "q", Service: "svc", Attempts: 1000},
+	})
+	s.run(500 * time.Millisecond)
+	assert.Assert(t, !s.fleet.ObservedRuns("w1")[0].SpeedUnknown)
+	s.elect()
+	s.run(500 * time.Millisecond)
+	assert.Assert(t, s.fleet.ObservedRuns("w1")[0].SpeedUnknown)
+	s.fleet.Throttle("w1", pimjob.TaskKey{Job: "a"}, 1, 100, s.now)
+	s.run(500 * time.Millisecond)
+	assert.Assert(t, !s.fleet.ObservedRuns("w1")[0].SpeedUnknown)
+}
--- a/internal/job/pimfleet/observe.go
+++ b/internal/job/pimfleet/observe.go
@@ -10,8 +10,10 @@
 type ObservedRun struct {
 	Status   RunStatus
 	ListedAt time.Duration
-	// SpeedPercent is the speed that the leader requested.
+	// SpeedPercent is the speed that the leader requested. SpeedUnknown is set while an earlier leader may have requested
+	// another one.
 	SpeedPercent int
+	SpeedUnknown bool
 	// ProgressedAt is when the progress, the checkpoint or the requested speed was last seen to change.
 	ProgressedAt time.Duration
 	// Stopping is set once the leader decided to stop the run.
@@ -35,7 +37,7 @@
 	var observed []ObservedRun
 	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.listedAt != 0 && run.listedAt == w.listedAt }) {
 		observed = append(observed, ObservedRun{
-			Status: run.status, ListedAt: run.listedAt, SpeedPercent: run.wantedSpeedPercent,
+			Status: run.status, ListedAt: run.listedAt, SpeedPercent: run.wantedSpeedPercent, SpeedUnknown: run.speedUnknown,
 			ProgressedAt: run.progressedAt, Stopping: run.stopping,
 		})
 	}
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -263,7 +263,7 @@
 func (f *Fleet) onThrottleResult(w *workerState, run *trackedRun, call ThrottleRun, result Result) {
 	run.inFlight = false
 	if result.Outcome == OutcomeExecuted {
-		run.speedPercent = call.SpeedPercent
+		run.speedPercent, run.speedUnknown = call.SpeedPercent, false
 	} else {
 		run.nextAt = f.now + retryDelay
 	}
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -154,6 +154,9 @@
 		status       RunStatus
 		listedAt     time.Duration
 		progressedAt time.Duration
+		// speedUnknown is set for a best-effort run of an earlier leader, which may have throttled it, until the
+		// worker has confirmed a speed to this leader.
+		speedUnknown bool
 		// speedPercent is the speed that the worker confirmed, wantedSpeedPercent the requested one.
 		speedPercent       int
 		wantedSpeedPercent int
--- a/internal/job/pimplan/headroom.go
+++ b/internal/job/pimplan/headroom.go
@@ -210,6 +210,7 @@
 			run := bestEffortRun{
 				key: observed.Status.Key, number: observed.Status.Number, image: step.Image,
 				cores: float64(step.Need.Millicores) / millicoresPerCore, speedPercent: observed.SpeedPercent,
+				speedUnknown: observed.SpeedUnknown,
 			}
 			bestEffort = append(bestEffort, run)
 			s.requestedCores[run.image] += run.cores
--- a/internal/job/pimplan/progress.go
+++ b/internal/job/pimplan/progress.go
@@ -55,7 +55,8 @@
 	for _, run := range runs {
 		key := run.Status.Key
 		_, step, job := p.state.Task(key)
-		if step == nil || step.LongRunning || step.Estimate <= 0 || step.Gang || run.SpeedPercent == 0 || run.Stopping {
+		if step == nil || step.LongRunning || step.Estimate <= 0 || step.Gang || run.SpeedPercent == 0 ||
+			run.SpeedUnknown || run.Stopping {
 			continue
 		}
 		sample, ok := state.samples[key]
--- a/internal/job/pimplan/throttle.go
+++ b/internal/job/pimplan/throttle.go
@@ -17,7 +17,9 @@
 	cores         float64
 	speedPercent  int
 	wantedPercent int
-	cost          float64
+	// speedUnknown is set for a run of an earlier leader to which this one has sent no speed yet.
+	speedUnknown bool
+	cost         float64
 }
 
 const (
@@ -69,7 +71,7 @@
 	}
 	slower, faster := tightest != nil && tightest.forecast() < throttleBelow,
 		tightest == nil || tightest.forecast() > releaseAbove
-	if !slower && !faster {
+	if !slower && !faster && !slices.ContainsFunc(runs, func(run bestEffortRun) bool { return run.speedUnknown }) {
 		return
 	}
 	pauseAll := state.longestOverTarget() > maxTimeOverTarget
@@ -78,8 +80,8 @@
 		if pauseAll {
 			run.wantedPercent = 0
 		}
-		if run.wantedPercent == run.speedPercent || (run.wantedPercent < run.speedPercent && !slower) ||
-			(run.wantedPercent > run.speedPercent && !faster) {
+		if !run.speedUnknown && (run.wantedPercent == run.speedPercent || (run.wantedPercent < run.speedPercent && !slower) ||
+			(run.wantedPercent > run.speedPercent && !faster)) {
 			continue
 		}
 		state.throttledAt = now
--- a/internal/job/pimplan/throttle_test.go
+++ b/internal/job/pimplan/throttle_test.go
@@ -36,3 +36,17 @@
 	assert.Assert(t, len(plan.Throttles) > 0)
 	assert.Equal(t, plan.Throttles[0].SpeedPercent, 0)
 }
+
+// TestSpeedOfEarlierLeader guards against a run that an earlier leader paused and that stays paused, until it is stopped as
+// one without progress, since the new leader takes it to run at full speed.
+func TestSpeedOfEarlierLeader(t *testing.T) {
+	p := NewPlanner(pimjob.NewState(), nil)
+	h := &host{worker: pimjob.Worker{ID: "w"}}
+	for _, known := range []bool{true, false} {
+		var plan Plan
+		p.throttleHost(time.Second, h, []bestEffortRun{
+			{image: "filler", cores: 4, speedPercent: fullSpeed, speedUnknown: !known},
+		}, &plan)
+		assert.Equal(t, len(plan.Throttles) == 0, known)
+	}
+}
