Wrap long lines of the tests of pimplan, pimcontrol and pimrelay

Only line breaks change, and two expressions got names; no assertion or input changes. make check and the tests of pimplan, pimcontrol, pimrelay and pimorganisation pass.

--- a/internal/job/pimcontrol/relay_test.go
+++ b/internal/job/pimcontrol/relay_test.go
@@ -63,7 +63,8 @@
 
 func workerCall(t *testing.T, term, id uint64, validity time.Duration, spec int) pimmessage.WorkerCall {
 	t.Helper()
-	body, err := pimrelay.EncodeCall(pimfleet.StartRun{Target: pimfleet.Target{ID: "w"}, Token: term, Spec: string(make([]byte, spec))})
+	call := pimfleet.StartRun{Target: pimfleet.Target{ID: "w"}, Token: term, Spec: string(make([]byte, spec))}
+	body, err := pimrelay.EncodeCall(call)
 	assert.NilError(t, err)
 	return pimmessage.WorkerCall{Term: term, ID: id, Validity: validity, Body: body}
 }
--- a/internal/job/pimplan/delay_test.go
+++ b/internal/job/pimplan/delay_test.go
@@ -104,7 +104,8 @@
 
 // result waits for the end of all measured jobs.
 func (r *delayRun) result() delayResult {
-	for limit := r.now + 90*time.Second; slices.ContainsFunc(r.jobs, func(id string) bool { return !r.state.Job(id).State.IsEnded() }); {
+	isOpen := func(id string) bool { return !r.state.Job(id).State.IsEnded() }
+	for limit := r.now + 90*time.Second; slices.ContainsFunc(r.jobs, isOpen); {
 		assert.Assert(r.t, r.now < limit, "a job does not end")
 		r.tick()
 	}
--- a/internal/job/pimplan/hostindex_test.go
+++ b/internal/job/pimplan/hostindex_test.go
@@ -204,7 +204,9 @@
 func TestReservedHostsAreReleased(t *testing.T) {
 	f := &randomFleet{random: rand.New(rand.NewPCG(1, 1)), state: pimjob.NewState(), now: time.Minute, unusable: map[string]bool{}}
 	f.planner = NewPlanner(f.state, f)
-	f.apply(pimjob.PutWorker{Worker: pimjob.Worker{ID: "w", Generation: 1, Service: "a", Capacity: pimjob.Resources{Millicores: 4000}}})
+	f.apply(pimjob.PutWorker{
+		Worker: pimjob.Worker{ID: "w", Generation: 1, Service: "a", Capacity: pimjob.Resources{Millicores: 4000}},
+	})
 	f.planner.Plan(f.now, f.now.Milliseconds())
 	f.planner.index.reserve(f.planner.hosts["w"])
 	f.apply(pimjob.Submit{
--- a/internal/job/pimplan/leaving.go
+++ b/internal/job/pimplan/leaving.go
@@ -191,8 +191,8 @@
 	return runs
 }
 
-// leavingRunOf returns a live run with its last report, or false if its task is unknown or its job has ended. A run that is not listed yet has
-// made no progress.
+// leavingRunOf returns a live run with its last report, or false if its task is unknown or its job has ended. A run that
+// is not listed yet has made no progress.
 func (p *Planner) leavingRunOf(
 	live pimjob.LiveRun, h *host, reported map[pimjob.TaskKey]pimfleet.ObservedRun,
 ) (leavingRun, bool) {
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -97,7 +97,8 @@
 		runs:         map[pimjob.TaskKey]*simulatedRun{},
 		interference: map[string]map[string]float64{}, ends: map[pimjob.EndKind]int{}, unusable: map[string]bool{},
 		staysUntil: map[string]time.Duration{}, leavesAt: map[string]time.Duration{},
-		speeds: map[string]float64{}, idleShares: map[string]float64{}, remainingWork: map[pimjob.TaskKey]float64{}, durationFactors: map[string]float64{},
+		speeds: map[string]float64{}, idleShares: map[string]float64{},
+		remainingWork: map[pimjob.TaskKey]float64{}, durationFactors: map[string]float64{},
 	}
 	for i := range workers {
 		sim.state.Apply(epochMillis, []pimjob.Op{pimjob.PutWorker{Worker: newWorker(i, perRack, 1)}})
--- a/internal/job/pimplan/shares_test.go
+++ b/internal/job/pimplan/shares_test.go
@@ -253,7 +253,10 @@
 		others      bool
 	}{
 		{name: "many tasks behind narrow jobs with earlier deadlines", rare: long(batch(32, 1), 2*time.Second), usual: batch(1, 1)},
-		{name: "narrow jobs behind wide ones with earlier deadlines", rare: long(batch(1, 1), 2*time.Second), usual: long(batch(32, 1), 500*time.Millisecond)},
+		{
+			name: "narrow jobs behind wide ones with earlier deadlines",
+			rare: long(batch(1, 1), 2*time.Second), usual: long(batch(32, 1), 500*time.Millisecond),
+		},
 		{name: "a task of many cores", rare: batch(1, 24), usual: batch(1, 1)},
 		{name: "a gang", rare: gang(batch(12, 2)), usual: batch(1, 1)},
 		{name: "a task of many cores beside another organisation", rare: batch(1, 24), usual: batch(1, 1), others: true},
--- a/internal/job/pimrelay/relays_test.go
+++ b/internal/job/pimrelay/relays_test.go
@@ -266,7 +266,9 @@
 
 // FuzzWorkerCall decodes what a control daemon may receive as a call or as a result.
 func FuzzWorkerCall(f *testing.F) {
-	for _, call := range []pimfleet.Call{pimfleet.RenewLease{}, pimfleet.StartRun{Spec: "s"}, pimfleet.StopRun{}, pimfleet.ThrottleRun{}} {
+	for _, call := range []pimfleet.Call{
+		pimfleet.RenewLease{}, pimfleet.StartRun{Spec: "s"}, pimfleet.StopRun{}, pimfleet.ThrottleRun{},
+	} {
 		data, _ := pimrelay.EncodeCall(call)
 		f.Add(data)
 	}
