--- a/internal/job/pimcontrol/access.go
+++ b/internal/job/pimcontrol/access.go
@@ -60,6 +60,7 @@
 	return c.reportRejection(address, unknownKey(address))
 }
 
+// unknownKey returns the rejection of a request whose key belongs to no organisation.
 func unknownKey(address pimrpc.Address) pimrpc.Response {
 	if address.Key == "" {
 		return pimrpc.Rejected{Code: pimcode.KeyUnknown, Detail: "no key is given"}
--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -348,6 +348,7 @@
 	}
 }
 
+// loop handles events until the context ends or a write fails. It wakes for the next event or deadline.
 func (c *Control) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -372,6 +373,7 @@
 // minSleep batches deadlines that are close together into one wakeup.
 const minSleep = time.Millisecond
 
+// handleEvents handles an event, unless it is nil, and those that are queued, up to maxEventsPerTick.
 func (c *Control) handleEvents(first event) error {
 	if first == nil {
 		return nil
@@ -408,6 +410,7 @@
 	return nil
 }
 
+// onPeer handles a message from another daemon. A panic while a request is handled drops only that request.
 func (c *Control) onPeer(e peerEvent) {
 	c.peerBytes.Add(-int64(pimmessage.SizeOf(e.message)))
 	switch message := e.message.(type) {
@@ -453,6 +456,7 @@
 	c.handOver()
 }
 
+// nextTick returns when tick is next to be called if no event arrives.
 func (c *Control) nextTick() time.Duration {
 	next := c.replica.NextTick()
 	if !c.replica.Members().Contains(c.id) {
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -108,6 +108,8 @@
 	l.pending.responders = append(l.pending.responders, respond)
 }
 
+// submit proposes a new job and responds once it is committed. If the job is rejected or known already, it responds once
+// the leadership is confirmed.
 func (c *Control) submit(request pimrpc.Submit, respond responder) {
 	l := c.leadership
 	id := request.Submission.ID
