--- a/test/regression.sh
+++ b/test/regression.sh
@@ -12,7 +12,7 @@
 fi
 bench=$1 folder=$2 update=${3:-}
 figures=$(dirname "$0")/regression.txt
-sites="large/hladnapot-ops-large grown/ccbac-sched-grown grown/hladnapot-ops-grown further/gpw-tt further-grown/gpw-tt-grown"
+sites="shifted/hladnapot-ops-now-grown demands/kla-line-grown demands/vc-urmarire-grown large/hladnapot-ops-large grown/ccbac-sched-grown grown/hladnapot-ops-grown further/gpw-tt further-grown/gpw-tt-grown"
 output=$(mktemp)
 table=$(mktemp)
 trap 'rm -f "$output" "$table"' EXIT
