--- a/internal/job/pimrelay/relays_test.go
+++ b/internal/job/pimrelay/relays_test.go
@@ -19,7 +19,7 @@
 func workersOf(count int) []pimrelay.Worker {
 	workers := make([]pimrelay.Worker, count)
 	for i := range workers {
-		workers[i] = pimrelay.Worker{ID: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), Domain: fmt.Sprintf("zone-%d", i%3)}
+		workers[i] = pimrelay.Worker{ID: fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), Domain: fmt.Sprintf("domain-%d", i%3)}
 	}
 	return workers
 }
@@ -27,7 +27,7 @@
 func daemonsOf(count int) []pimrelay.Daemon {
 	daemons := make([]pimrelay.Daemon, count)
 	for i := range daemons {
-		daemons[i] = pimrelay.Daemon{ID: fmt.Sprintf("10.0.0.%d:9000#first", i+1), Domain: fmt.Sprintf("zone-%d", i%3)}
+		daemons[i] = pimrelay.Daemon{ID: fmt.Sprintf("10.0.0.%d:9000#first", i+1), Domain: fmt.Sprintf("domain-%d", i%3)}
 	}
 	return daemons
 }
