Log which runs are lost with a worker that ends without notice, and each task that is started again

The new line names the newest runs with their age when the worker fell silent; task-restarts counts what is started again.

--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -33,11 +33,23 @@
 		case pimjob.ConfigChanged:
 			c.logger.Info().Int64("version", c.state.Config().Version).Int("queues", len(c.state.Config().Queues)).
 				Msg("configuration is in effect")
-		case pimjob.RunStarted, pimjob.JobAccepted:
+		case pimjob.RunStarted:
+			c.reportRestart(change.Live)
+		case pimjob.JobAccepted:
 		}
 	}
 }
 
+// reportRestart logs and counts a run of a task that has had one before.
+func (c *Control) reportRestart(live pimjob.LiveRun) {
+	if live.Run.Number == 1 {
+		return
+	}
+	c.metrics.Add("task-restarts", 1)
+	c.logger.Info().Stringer("task", live.Key).Int("run", live.Run.Number).Str("worker", live.Run.Worker).
+		Msg("task is started again")
+}
+
 // countQueueMetrics updates the metrics by which queues can be compared: how long the jobs of a queue
 // wait, how much processor time they are given and how they end. Only the leader counts, so the value
 // of a queue is the sum over all control daemons.
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -59,6 +59,11 @@
 		renewing  bool
 		renewAt   time.Duration
 		reachable bool
+		// heardAt is when the worker last responded to a call. silentSince is since when it is taken not to respond, or 0
+		// while it does.
+		heardAt, silentSince time.Duration
+		// lossReported is set once the loss of the worker's runs is logged.
+		lossReported bool
 		// failures counts the renewals that failed in a row.
 		failures int
 		// leaving is set once the worker reported that it leaves. It is dropped after the result of
@@ -93,6 +98,8 @@
 	expiredRetryDelay = time.Second
 	// maxStartAttempts is how many start commands without a response are sent before the run is stopped.
 	maxStartAttempts = 3
+	// responseTimeout is the least time for which a call waits for a response, beside RenewLease.Wait.
+	responseTimeout = 450 * time.Millisecond
 	// unhealthyBackoff is how long a worker that is unhealthy or out of capacity gets no new runs.
 	unhealthyBackoff = time.Second
 )
@@ -227,7 +234,7 @@
 	if w == nil || w.worker.Generation != live.Run.Generation {
 		return
 	}
-	run := &trackedRun{live: live, state: starting, speedPercent: 100, wantedSpeedPercent: 100}
+	run := &trackedRun{live: live, state: starting, committedAt: f.now, speedPercent: 100, wantedSpeedPercent: 100}
 	w.runs[runID{live.Key, live.Run.Number}] = run
 	f.advanceRun(w, run)
 }
@@ -372,6 +379,7 @@
 		w.leaseExpired = true
 		if len(w.runs) > 0 {
 			f.recordDecision("worker lease expired, its runs are lost", w.worker.ID, runID{}, "")
+			f.reportLoss(w)
 			f.ops = append(f.ops, pimjob.ExpireLease{ID: w.worker.ID, Generation: w.worker.Generation})
 		}
 	}
--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -37,6 +37,9 @@
 
 // proposeDrop proposes to drop a worker generation. Ends that were proposed before are applied first.
 func (f *Fleet) proposeDrop(w *workerState) {
+	if !w.leaving && !w.worker.Draining {
+		f.reportLoss(w)
+	}
 	f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation})
 	w.renewAt = f.now + expiredRetryDelay
 	w.dirty = true
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -17,6 +17,7 @@
 		return
 	}
 	w.dirty = true
+	w.observeContact(result, f.now)
 	if result.Outcome == OutcomeOtherGeneration {
 		f.recordDecision("another generation of the worker rejected the call", w.worker.ID, runID{}, "")
 		w.renewing = false
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -147,6 +147,8 @@
 		// closingSince is when the worker last confirmed that the run is stopped or will not start,
 		// or when that was last proposed for the log.
 		closingSince time.Duration
+		// committedAt is when the run was committed, or 0 for a run of an earlier leader.
+		committedAt time.Duration
 		// confirmedAt is when the worker last confirmed that the run is running.
 		confirmedAt time.Duration
 		stopping    bool
