--- a/internal/job/pimfleet/simulation_test.go
+++ b/internal/job/pimfleet/simulation_test.go
@@ -31,12 +31,16 @@
 		// disturbedAt is when the worker was last down, partitioned or restarted.
 		disturbedAt   time.Duration
 		neverFinishes bool
+		// backAt is when a worker that crashed starts again, or 0.
+		backAt time.Duration
 	}
 
 	fakeRun struct {
 		number int
 		doneAt time.Duration
 		fails  bool
+		// crashesAt is when the run crashes its worker, or 0.
+		crashesAt time.Duration
 	}
 
 	// delivery is a call on its way to a worker, or, where result is set, a result on its way back.
@@ -80,6 +84,10 @@
 		lostResultShare float64
 		// quotas, if set, plans the starts with a planner and checks the quotas of organisations.
 		quotas *quotaSimulation
+		// crashes, if set, has tasks that crash their workers.
+		crashes *crashSimulation
+		// capacity is that of each worker.
+		capacity pimjob.Resources
 	}
 )
 
@@ -97,13 +105,14 @@
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), state: pimjob.NewState(), now: time.Second,
 		workers: map[string]*fakeWorker{}, done: map[pimjob.TaskKey]bool{}, policy: policy,
+		capacity: pimjob.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20},
 	}
 	var ops []pimjob.Op
 	for _, id := range workers {
 		s.workers[id] = &fakeWorker{id: id, generation: 1}
 		s.workers[id].reset(1, 0)
 		ops = append(ops, pimjob.PutWorker{Worker: pimjob.Worker{
-			ID: id, Generation: 1, Service: "svc", Capacity: pimjob.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20},
+			ID: id, Generation: 1, Service: "svc", Capacity: s.capacity,
 		}})
 	}
 	s.state.Apply(startMillis, ops)
@@ -207,6 +216,11 @@
 func (s *simulation) restart(worker *fakeWorker) {
 	worker.reset(worker.generation+1, s.now)
 	worker.disturbedAt = s.now
+	s.breakRenewals(worker)
+}
+
+// breakRenewals makes the pending renewals of a worker fail.
+func (s *simulation) breakRenewals(worker *fakeWorker) {
 	for i, d := range s.queue {
 		call := d.call
 		if d.result != nil {
@@ -223,13 +237,12 @@
 	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
 		worker := s.workers[id]
 		known := s.state.Worker(id)
-		if known != nil && known.Generation == worker.generation {
+		if worker.down || (known != nil && known.Generation == worker.generation) {
 			continue
 		}
 		if s.fleet.OnNewGeneration(id, worker.generation, s.now) {
 			s.apply(pimjob.PutWorker{Worker: pimjob.Worker{
-				ID: id, Generation: worker.generation, Service: "svc",
-				Capacity: pimjob.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20},
+				ID: id, Generation: worker.generation, Service: "svc", Capacity: s.capacity,
 			}})
 			s.fleet.OnHeartbeat(id, worker.generation, worker.clock(s.now), 0, s.now)
 		}
@@ -387,6 +400,9 @@
 		f.leaseDeadline = max(f.leaseDeadline, call.Deadline)
 		s.checkStart(f, call)
 		f.runs[call.Key] = &fakeRun{number: call.Number, doneAt: s.now + s.workTime(), fails: s.random.Float64() < 0.1}
+		if s.crashes != nil {
+			s.crashes.onStart(s, call.Key, f.runs[call.Key])
+		}
 	}
 }
 
@@ -413,6 +429,9 @@
 	if f.down || f.partitioned {
 		f.disturbedAt = now
 	}
+	if s.crashes != nil {
+		s.crashes.advance(s, f)
+	}
 	if f.down {
 		return
 	}
