Fail a job whose task crashes the workers that start it

Cause: only ends that a worker lists as failed counted against a task. A run that ended with its worker, as lost or with an expired lease, left no trace in the state, so nothing ended the task, whoever led. Fix: the replicated state records when a worker fell silent (MarkSilent) and, once its generation has ended without notice, judges its runs: pimcrash weighs their ages then and the earlier crashes under their tasks against all other causes, and keeps the result in the task. It is in the log, so that the next leader goes on with it; a worker that leaves or was only cut off has not crashed, and a run that it never executed ends as refused before.

--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -35,11 +35,28 @@
 				Msg("configuration is in effect")
 		case pimjob.RunStarted:
 			c.reportRestart(change.Live)
+		case pimjob.WorkerCrashed:
+			c.metrics.Add("workers-crashed", 1)
+			c.logger.Warn().Str("worker", change.ID).Int64("born", change.Generation).Int("runs", change.Runs).Msg("worker crashed")
+		case pimjob.TaskSuspected:
+			c.reportSuspect(change)
 		case pimjob.JobAccepted:
 		}
 	}
 }
 
+// reportSuspect logs and counts a task that may have crashed its worker.
+func (c *Control) reportSuspect(suspect pimjob.TaskSuspected) {
+	c.metrics.Add("tasks-suspected", 1)
+	if suspect.GivenUp {
+		c.metrics.Add("tasks-given-up", 1)
+	}
+	c.logger.Warn().Stringer("task", suspect.Live.Key).Int("run", suspect.Live.Run.Number).Str("worker", suspect.Live.Run.Worker).
+		Int("crashes", suspect.Record.Count).Int("permille", suspect.Record.Permille).
+		Int64("age-ms", suspect.Record.Age.Milliseconds()).Bool("given-up", suspect.GivenUp).
+		Msg("task is suspected of crashing its worker")
+}
+
 // reportRestart logs and counts a run of a task that has had one before.
 func (c *Control) reportRestart(live pimjob.LiveRun) {
 	if live.Run.Number == 1 {
@@ -76,7 +93,7 @@
 		c.metrics.AddForQueue("queue-core-millis", job.Queue.Name, elapsed*step.Need.Millicores/1000)
 	case pimjob.JobEnded:
 		c.metrics.AddForQueue("queue-jobs-"+change.Job.State.String(), change.Job.Queue.Name, 1)
-	case pimjob.WorkerChanged, pimjob.ConfigChanged:
+	case pimjob.WorkerChanged, pimjob.ConfigChanged, pimjob.WorkerCrashed, pimjob.TaskSuspected:
 	}
 }
 
--- /dev/null
+++ b/internal/job/pimcrash/judge_test.go
@@ -0,0 +1,71 @@
+package pimcrash_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
+)
+
+const fuse = 20 * time.Millisecond
+
+// bystanders are the runs of other jobs on a worker.
+func bystanders(ages ...time.Duration) []pimcrash.Suspect {
+	var suspects []pimcrash.Suspect
+	for i, age := range ages {
+		suspects = append(suspects, pimcrash.Suspect{Group: string(rune('a' + i)), Age: age})
+	}
+	return suspects
+}
+
+// crashes judges a task that crashes a worker after each of the ages, each time beside others.
+func crashes(others []pimcrash.Suspect, ages ...time.Duration) pimcrash.Verdict {
+	var verdict pimcrash.Verdict
+	for _, age := range ages {
+		suspect := pimcrash.Suspect{Group: "job", Age: age, Record: verdict.Record}
+		verdict = pimcrash.Judge(append([]pimcrash.Suspect{suspect}, others...))[0]
+	}
+	return verdict
+}
+
+// TestJudge guards against a task that crashes its workers and isn't recognized within the starts that it may have, and
+// against tasks that are given up for crashes with another cause.
+func TestJudge(t *testing.T) {
+	busy := bystanders(200*time.Millisecond, 500*time.Millisecond, time.Second, time.Second, 3*time.Second)
+	for name, test := range map[string]struct {
+		others  []pimcrash.Suspect
+		ages    []time.Duration
+		givenUp bool
+	}{
+		"one crash proves nothing":                           {nil, []time.Duration{fuse}, false},
+		"two crashes right after the start":                  {busy, []time.Duration{fuse, fuse}, true},
+		"three crashes beside runs that are as young":        {bystanders(fuse, fuse, fuse), []time.Duration{fuse, fuse, fuse}, true},
+		"two crashes a second after the start":               {busy, []time.Duration{time.Second, time.Second}, false},
+		"three crashes a second after the start":             {busy, []time.Duration{time.Second, time.Second, time.Second}, true},
+		"two crashes at different ages, alone on the worker": {nil, []time.Duration{fuse, 640 * time.Millisecond}, false},
+		"crashes of a worker under old runs":                 {nil, []time.Duration{30 * time.Second, 3 * time.Second, 20 * time.Second}, false},
+		"a long run clears the task":                         {busy, []time.Duration{fuse, 6 * time.Second, fuse}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			verdict := crashes(test.others, test.ages...)
+			assert.Equal(t, verdict.GivenUp, test.givenUp, "%+v", verdict.Record)
+		})
+	}
+	t.Run("a task is not given up for others that crash its workers", func(t *testing.T) {
+		others := append(busy, pimcrash.Suspect{Group: "guilty", Age: fuse})
+		once := crashes(others, 700*time.Millisecond)
+		assert.Assert(t, !once.Record.IsSuspect())
+		assert.Assert(t, !crashes(others, 700*time.Millisecond, 700*time.Millisecond).GivenUp)
+	})
+	t.Run("two tasks of a job together end it", func(t *testing.T) {
+		both := bystanders(fuse, fuse)
+		both[0].Group, both[1].Group = "job", "job"
+		for i, verdict := range pimcrash.Judge(both) {
+			assert.Assert(t, !verdict.GivenUp)
+			both[i].Record = verdict.Record
+		}
+		assert.Assert(t, pimcrash.Judge(both)[0].GivenUp)
+	})
+}
--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -6,32 +6,55 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
 
 // reportedRuns is how many of the runs of a lost worker its log line names.
 const reportedRuns = 4
 
-// observeContact records whether the worker responded to a call. A connection that breaks before the call times out shows
-// when the worker stopped; after a time-out, only the last response does.
-func (w *workerState) observeContact(result Result, now time.Duration) {
-	switch {
-	case result.Clock > 0:
-		w.heardAt, w.silentSince = now, 0
-	case result.Outcome != OutcomeUnknown || w.silentSince != 0:
-	default:
-		w.silentSince = now
-		if call, ok := result.Call.(RenewLease); !ok || now-call.SentAt >= call.Wait+responseTimeout {
-			w.silentSince = max(w.heardAt, time.Nanosecond)
+// observeContact records whether the worker responded to a call. A renewal that breaks off before it times out shows when
+// the worker stopped; after a time-out, only the last response does.
+func (f *Fleet) observeContact(w *workerState, result Result) {
+	if result.Clock > 0 {
+		w.heardAt = f.now
+		// Only a renewal tells which generation has responded.
+		if _, ok := result.Call.(RenewLease); ok && result.Generation == w.worker.Generation {
+			f.endSilence(w)
 		}
+		return
+	}
+	call, ok := result.Call.(RenewLease)
+	if !ok || result.Outcome != OutcomeUnknown || w.silentSince != 0 {
+		return
+	}
+	w.silentSince = f.now
+	if w.heardAt > 0 && f.now-call.SentAt >= call.Wait+responseTimeout {
+		w.silentSince = w.heardAt
+	}
+	if len(w.runs) > 0 {
+		w.markedSilent = true
+		f.ops = append(f.ops, pimjob.MarkSilent{
+			ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince,
+		})
+	}
+}
+
+// endSilence records that the worker responds.
+func (f *Fleet) endSilence(w *workerState) {
+	w.silentSince = 0
+	if w.markedSilent || f.state.IsSilent(w.worker.ID) {
+		w.markedSilent = false
+		f.ops = append(f.ops, pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, RespondsAgain: true})
 	}
 }
 
 // silentFor returns for how long the worker has not responded.
-func (f *Fleet) silentFor(w *workerState) time.Duration {
+func (w *workerState) silentFor(now time.Duration) time.Duration {
 	if w.silentSince == 0 {
 		return 0
 	}
-	return f.now - w.silentSince
+	return now - w.silentSince
 }
 
 // reportLoss logs which runs are lost with a worker that ended without notice: for how long it was silent, and the newest
@@ -43,7 +66,7 @@
 	w.lossReported = true
 	runs := w.sortedRuns(func(*trackedRun) bool { return true })
 	slices.SortStableFunc(runs, func(a, b *trackedRun) int { return cmp.Compare(b.committedAt, a.committedAt) })
-	silentFor := f.silentFor(w)
+	silentFor := w.silentFor(f.now)
 	var newest []string
 	for _, run := range runs[:min(reportedRuns, len(runs))] {
 		age := "inherited"
@@ -55,3 +78,13 @@
 	f.recordDecision("worker ended without notice", w.worker.ID, runID{}, fmt.Sprintf("silent-ms=%d runs=%d newest=%s",
 		silentFor.Milliseconds(), len(runs), strings.Join(newest, ",")))
 }
+
+// proposeUnbegunEnds proposes the ends of runs that a crashed worker has never executed, so that they aren't taken for the
+// cause.
+func (f *Fleet) proposeUnbegunEnds(w *workerState) {
+	unbegun := func(run *trackedRun) bool { return run.state == starting && !run.mayHaveBegun && !run.inFlight }
+	for _, run := range w.sortedRuns(unbegun) {
+		f.recordDecision("run ended as refused: the worker crashed before", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "")
+		f.proposeRefusedEnd(w, run)
+	}
+}
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -62,6 +62,8 @@
 		// heardAt is when the worker last responded to a call. silentSince is since when it is taken not to respond, or 0
 		// while it does.
 		heardAt, silentSince time.Duration
+		// markedSilent is set while the log holds that the worker is silent, by a proposal of this leader.
+		markedSilent bool
 		// lossReported is set once the loss of the worker's runs is logged.
 		lossReported bool
 		// failures counts the renewals that failed in a row.
@@ -129,7 +131,7 @@
 		if live.Run.Generation == worker.Generation {
 			_, step, _ := f.state.Task(key)
 			w.runs[runID{key, live.Run.Number}] = &trackedRun{
-				live: live, state: inherited, speedPercent: 100, wantedSpeedPercent: 100,
+				live: live, state: inherited, mayHaveBegun: true, speedPercent: 100, wantedSpeedPercent: 100,
 				speedUnknown: step != nil && step.BestEffort,
 			}
 		}
--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -37,10 +37,12 @@
 
 // proposeDrop proposes to drop a worker generation. Ends that were proposed before are applied first.
 func (f *Fleet) proposeDrop(w *workerState) {
-	if !w.leaving && !w.worker.Draining {
+	crashed := !w.leaving && !w.worker.Draining
+	if crashed {
 		f.reportLoss(w)
+		f.proposeUnbegunEnds(w)
 	}
-	f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation})
+	f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation, Crashed: crashed})
 	w.renewAt = f.now + expiredRetryDelay
 	w.dirty = true
 }
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -17,11 +17,16 @@
 		return
 	}
 	w.dirty = true
-	w.observeContact(result, f.now)
+	f.observeContact(w, result)
 	if result.Outcome == OutcomeOtherGeneration {
 		f.recordDecision("another generation of the worker rejected the call", w.worker.ID, runID{}, "")
 		w.renewing = false
 		w.reachable = false
+		if call, ok := result.Call.(StartRun); ok {
+			if run := w.runs[runID{call.Key, call.Number}]; run != nil {
+				run.inFlight = false
+			}
+		}
 		f.proposeDrop(w)
 		return
 	}
@@ -137,6 +142,7 @@
 
 func (f *Fleet) confirmRun(run *trackedRun) {
 	run.state = running
+	run.mayHaveBegun = true
 	run.outcomeUnknown = false
 	run.confirmedAt = f.now
 }
@@ -211,7 +217,7 @@
 	case OutcomeRejected, OutcomeUnhealthy:
 		f.onStartRejected(w, run, result)
 	case OutcomeUnknown, OutcomeOtherGeneration:
-		run.outcomeUnknown = true
+		run.outcomeUnknown, run.mayHaveBegun = true, true
 		run.nextAt = f.now + retryDelay
 		if run.attempts >= maxStartAttempts {
 			f.recordDecision(
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -140,6 +140,8 @@
 		attempts int
 		// outcomeUnknown is set while an earlier start command may still be executed.
 		outcomeUnknown bool
+		// mayHaveBegun is set unless it is known that the worker has not executed the run so far.
+		mayHaveBegun bool
 		// inFlight is set while a call for the run has no result; nextAt is the earliest time of the
 		// next call.
 		inFlight bool
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -37,7 +37,10 @@
 		if worker := s.tables.Workers[op.ID]; worker == nil || worker.Generation != op.Generation {
 			return nil
 		}
+		s.keepExpiredRuns(op)
 		return s.endRunsOn(op.ID, op.Generation, EndLeaseExpired)
+	case MarkSilent:
+		s.markSilent(op)
 	case PutConfig:
 		if op.Config.Version <= s.tables.Config.Version {
 			return nil
@@ -236,7 +239,7 @@
 	}
 	var changes []Change
 	if known != nil && known.Generation < worker.Generation {
-		changes = s.endRunsOn(worker.ID, known.Generation, EndLost)
+		changes = s.endGeneration(known, !known.Draining)
 	}
 	if known != nil && known.Generation == worker.Generation && known.Draining {
 		worker.Draining = true
@@ -254,12 +257,13 @@
 	if worker == nil || worker.Generation > op.Generation {
 		return nil
 	}
-	changes := s.endRunsOn(op.ID, worker.Generation, EndLost)
+	changes := s.endGeneration(worker, op.Crashed)
 	delete(s.tables.Workers, op.ID)
 	return append(changes, WorkerChanged{Worker: *worker, Removed: true})
 }
 
-func (s *State) endRunsOn(worker string, generation int64, kind EndKind) []Change {
+// runsOf returns the live runs on a generation of a worker, sorted by task.
+func (s *State) runsOf(worker string, generation int64) []LiveRun {
 	var runs []LiveRun
 	for _, live := range s.liveRuns[worker] {
 		if live.Run.Generation == generation {
@@ -267,8 +271,12 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b LiveRun) int { return CompareKeys(a.Key, b.Key) })
+	return runs
+}
+
+func (s *State) endRunsOn(worker string, generation int64, kind EndKind) []Change {
 	var changes []Change
-	for _, live := range runs {
+	for _, live := range s.runsOf(worker, generation) {
 		changes = append(changes, s.end(End{
 			Key: live.Key, Number: live.Run.Number, Worker: worker, Generation: generation, Kind: kind,
 		})...)
--- /dev/null
+++ b/internal/job/pimjob/crash.go
@@ -0,0 +1,97 @@
+package pimjob
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
+)
+
+type (
+	// silence is since when, in milliseconds since 1970, a generation of a worker has not responded. Expired holds the runs
+	// that its lease has ended since.
+	silence struct {
+		Generation int64     `msgpack:"b"`
+		Since      int64     `msgpack:"s"`
+		Expired    []LiveRun `msgpack:"e,omitempty"`
+	}
+)
+
+func (s *State) markSilent(op MarkSilent) {
+	worker := s.tables.Workers[op.ID]
+	if worker == nil || worker.Generation != op.Generation {
+		return
+	}
+	if op.RespondsAgain {
+		delete(s.tables.Silences, op.ID)
+		return
+	}
+	if known := s.tables.Silences[op.ID]; known != nil && known.Generation == op.Generation {
+		return
+	}
+	if s.tables.Silences == nil {
+		s.tables.Silences = map[string]*silence{}
+	}
+	s.tables.Silences[op.ID] = &silence{Generation: op.Generation, Since: s.tables.Now - op.SilentFor.Milliseconds()}
+}
+
+// IsSilent reports whether a worker is recorded as not responding.
+func (s *State) IsSilent(id string) bool { return s.tables.Silences[id] != nil }
+
+// keepExpiredRuns keeps the runs that the lease of a worker ends. If the worker turns out to have crashed, one of them may
+// be the cause.
+func (s *State) keepExpiredRuns(op ExpireLease) {
+	if known := s.tables.Silences[op.ID]; known != nil && known.Generation == op.Generation {
+		known.Expired = append(known.Expired, s.runsOf(op.ID, op.Generation)...)
+	}
+}
+
+// endGeneration ends the runs of a generation of a worker that has ended. If it has crashed, tasks that seem to crash their
+// workers are given up.
+func (s *State) endGeneration(worker *Worker, crashed bool) []Change {
+	runs, since := s.runsOf(worker.ID, worker.Generation), s.tables.Now
+	if known := s.tables.Silences[worker.ID]; known != nil && known.Generation == worker.Generation {
+		runs, since = append(known.Expired, runs...), known.Since
+	}
+	delete(s.tables.Silences, worker.ID)
+	changes := s.endRunsOn(worker.ID, worker.Generation, EndLost)
+	if !crashed {
+		return changes
+	}
+	changes = append(changes, WorkerCrashed{worker.ID, worker.Generation, len(runs)})
+	return append(changes, s.judgeCrash(runs, since)...)
+}
+
+// judgeCrash records a crash in the tasks of those runs that had begun before, and fails the jobs of the tasks that are given
+// up.
+func (s *State) judgeCrash(runs []LiveRun, crashedAt int64) []Change {
+	var begun []LiveRun
+	var suspects []pimcrash.Suspect
+	for _, live := range runs {
+		task, _, _ := s.Task(live.Key)
+		if task == nil || live.Run.StartedAt > crashedAt {
+			continue
+		}
+		suspect := pimcrash.Suspect{
+			Group: live.Key.Job, Age: time.Duration(crashedAt-live.Run.StartedAt) * time.Millisecond,
+		}
+		if task.Crash != nil {
+			suspect.Record = *task.Crash
+		}
+		begun, suspects = append(begun, live), append(suspects, suspect)
+	}
+	var changes []Change
+	for i, verdict := range pimcrash.Judge(suspects) {
+		task, _, job := s.Task(begun[i].Key)
+		if task.Done || job.State.IsEnded() {
+			continue
+		}
+		task.Crash = &verdict.Record
+		if task.Crash.IsSuspect() {
+			changes = append(changes, TaskSuspected{begun[i], verdict.Record, verdict.GivenUp})
+		}
+		if verdict.GivenUp {
+			changes = append(changes, s.endJob(job, Failed)...)
+		}
+	}
+	return changes
+}
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -63,16 +63,17 @@
 		Checkpoint string  `msgpack:"s"`
 	}
 
-	// PutWorker adds or changes a worker. All runs of an older generation are lost. It has no effect
-	// if the generation has ended or a newer one is known. A generation that is draining stays so.
+	// PutWorker adds or changes a worker. All runs of an older generation, which has crashed unless it was draining, are
+	// lost. It has no effect if the generation has ended or a newer one is known. A generation that is draining stays so.
 	PutWorker struct {
 		Worker Worker `msgpack:"w"`
 	}
 
-	// DropWorker records that a generation of a worker has ended.
+	// DropWorker records that a generation of a worker has ended. Crashed means that it ended without notice.
 	DropWorker struct {
 		ID         string `msgpack:"i"`
 		Generation int64  `msgpack:"b"`
+		Crashed    bool   `msgpack:"c,omitempty"`
 	}
 
 	// ExpireLease records that the lease of a worker's generation expired, which ended its runs.
@@ -81,6 +82,15 @@
 		Generation int64  `msgpack:"b"`
 	}
 
+	// MarkSilent records that a worker's generation has not responded for some time, or that it responds again. If it has
+	// crashed, the ages of its runs at that time tell which of them may be the cause, also to later leaders.
+	MarkSilent struct {
+		ID            string        `msgpack:"i"`
+		Generation    int64         `msgpack:"b"`
+		SilentFor     time.Duration `msgpack:"s,omitempty"`
+		RespondsAgain bool          `msgpack:"r,omitempty"`
+	}
+
 	// PutConfig puts a configuration into effect if its version is higher.
 	PutConfig struct {
 		Config Config `msgpack:"c"`
@@ -113,6 +123,7 @@
 	{Name: "w", Zero: PutWorker{}},
 	{Name: "d", Zero: DropWorker{}},
 	{Name: "l", Zero: ExpireLease{}},
+	{Name: "q", Zero: MarkSilent{}},
 	{Name: "f", Zero: PutConfig{}},
 	{Name: "m", Zero: MarkDomain{}},
 	{Name: "n", Zero: SaveLearned{}},
@@ -126,6 +137,7 @@
 func (PutWorker) isOp()      {}
 func (DropWorker) isOp()     {}
 func (ExpireLease) isOp()    {}
+func (MarkSilent) isOp()     {}
 func (PutConfig) isOp()      {}
 func (MarkDomain) isOp()     {}
 func (SaveLearned) isOp()    {}
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimshare"
 )
 
@@ -37,6 +38,8 @@
 		Learned          Learned            `msgpack:"l"`
 		// Rates holds the token bucket of each organisation that has submitted a job.
 		Rates map[string]pimshare.Bucket `msgpack:"r,omitempty"`
+		// Silences holds the workers that do not respond.
+		Silences map[string]*silence `msgpack:"x,omitempty"`
 		// NextCleanupAt is when ended jobs are next checked for removal.
 		NextCleanupAt int64 `msgpack:"f"`
 	}
@@ -59,6 +62,20 @@
 		Kind EndKind
 	}
 
+	// TaskSuspected reports a task that may have crashed its worker, and whether its job is given up for it.
+	TaskSuspected struct {
+		Live    LiveRun
+		Record  pimcrash.Record
+		GivenUp bool
+	}
+
+	// WorkerCrashed reports a generation of a worker that ended without notice. Runs counts the runs that it had then.
+	WorkerCrashed struct {
+		ID         string
+		Generation int64
+		Runs       int
+	}
+
 	// JobEnded reports that a job was completed, failed or cancelled.
 	JobEnded struct{ Job *Job }
 
@@ -82,6 +99,8 @@
 func (JobAccepted) isChange()   {}
 func (RunStarted) isChange()    {}
 func (RunEnded) isChange()      {}
+func (TaskSuspected) isChange() {}
+func (WorkerCrashed) isChange() {}
 func (JobEnded) isChange()      {}
 func (WorkerChanged) isChange() {}
 func (ConfigChanged) isChange() {}
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -206,6 +206,72 @@
 	})
 }
 
+// TestCrashes guards against crashes under a task that are forgotten with the leader or counted although no worker crashed,
+// so that the task is started without end or its job is given up without cause.
+func TestCrashes(t *testing.T) {
+	const fuse = 20
+	// crash starts a run on a worker and ends the worker's generation with the given operations some time later.
+	crash := func(t *testing.T, s *pimjob.State, at, generation int64, ops ...pimjob.Op) *pimjob.State {
+		task, _, _ := s.Task(key("a", 0, 0))
+		s.Apply(at, []pimjob.Op{pimjob.Start{
+			Key: key("a", 0, 0), Number: task.LastRun + 1, Worker: "w1", Generation: generation,
+		}})
+		s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{ID: "w1", Generation: generation}})
+		s.Apply(at+3000, ops)
+		// The next leader starts from a snapshot.
+		data, err := s.Snapshot()
+		assert.NilError(t, err)
+		s, err = pimjob.Restore(data)
+		assert.NilError(t, err)
+		return s
+	}
+	next := func(generation int64) pimjob.Op { return pimjob.PutWorker{Worker: worker("w1", generation)} }
+	dropped := func(generation int64, crashed bool) pimjob.Op {
+		return pimjob.DropWorker{ID: "w1", Generation: generation, Crashed: crashed}
+	}
+	draining := worker("w1", 1)
+	draining.Draining = true
+	for name, test := range map[string]struct {
+		first, second []pimjob.Op
+		state         pimjob.JobState
+	}{
+		"a new generation":            {[]pimjob.Op{next(2)}, []pimjob.Op{next(3)}, pimjob.Failed},
+		"another worker in its place": {[]pimjob.Op{dropped(1, true), next(2)}, []pimjob.Op{dropped(2, true)}, pimjob.Failed},
+		"after its lease has expired": {
+			[]pimjob.Op{pimjob.ExpireLease{ID: "w1", Generation: 1}, next(2)},
+			[]pimjob.Op{pimjob.ExpireLease{ID: "w1", Generation: 2}, next(3)},
+			pimjob.Failed,
+		},
+		"workers that leave": {[]pimjob.Op{dropped(1, false), next(2)}, []pimjob.Op{dropped(2, false)}, pimjob.Running},
+		"a draining worker":  {[]pimjob.Op{pimjob.PutWorker{Worker: draining}, next(2)}, []pimjob.Op{next(3)}, pimjob.Running},
+		"a worker that was only cut off": {
+			[]pimjob.Op{
+				pimjob.ExpireLease{ID: "w1", Generation: 1},
+				pimjob.MarkSilent{ID: "w1", Generation: 1, RespondsAgain: true},
+				next(2),
+			},
+			[]pimjob.Op{next(3)},
+			pimjob.Running,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newState(submit(submission("a", 2)))
+			s = crash(t, s, baseTime, 1, test.first...)
+			assert.Equal(t, s.Job("a").State, pimjob.Running)
+			s = crash(t, s, baseTime+10_000, 2, test.second...)
+			assert.Equal(t, s.Job("a").State, test.state)
+		})
+	}
+	t.Run("a start after the crash is none", func(t *testing.T) {
+		s := newState(submit(submission("a", 2)))
+		s.Apply(baseTime+1000, []pimjob.Op{pimjob.MarkSilent{ID: "w1", Generation: 1}})
+		s.Apply(baseTime+2000, []pimjob.Op{start(key("a", 0, 0), 1, "w1")})
+		s.Apply(baseTime+3000, []pimjob.Op{next(2)})
+		task, _, _ := s.Task(key("a", 0, 0))
+		assert.Assert(t, task.Run == nil && task.Crash == nil)
+	})
+}
+
 func TestConfig(t *testing.T) {
 	put := func(version int64, text string) pimjob.Op {
 		return pimjob.PutConfig{Config: pimjob.Config{Version: version, Text: []byte(text)}}
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimorganisation"
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
 )
 
 type (
@@ -152,6 +153,8 @@
 		Run        *Run   `msgpack:"r,omitempty"`
 		// EndedAt is when its last run ended, in milliseconds since 1970.
 		EndedAt int64 `msgpack:"e,omitempty"`
+		// Crash is what is known about the workers that crashed under the task, or nil if none did.
+		Crash *pimcrash.Record `msgpack:"c,omitempty"`
 	}
 
 	// StepState holds a step's tasks. OpenTasks counts those not done.
