Follow the capacity of a worker while it runs

Callers would see: a worker whose capacity shrinks while it runs gets more runs than it holds. One that refuses them delays each by a rejected start and a second of backoff; one that doesn't guard its capacity runs them all too slowly (LIMIT). Cause: a belief was taken over once and never corrected. The leader compared only generation, address and draining of a heartbeat with what it knew; the filter of large deployments did the same before it; the planner took a new capacity but kept the free capacity of the old one; and a start command without an answer was repeated whatever had changed since. Evidence: TestChangedCapacity (pimcontrol, pimplan), TestHeartbeatFilter and TestStartAfterShrinking failed before: 8 runs were started on a host with 14 cores of which 16 were in use. Fix: a changed capacity is news and goes into the log, so that the next leader has it; a heartbeat that was sent before another one, or over 2 s ago by the worker's clock, doesn't change it; free capacity changes with it, below 0 if need be; a start command is sent only while the capacity holds all runs of the worker, those that are being stopped included.

--- a/internal/job/pimcontrol/heartbeats.go
+++ b/internal/job/pimcontrol/heartbeats.go
@@ -21,6 +21,7 @@
 	filteredWorker struct {
 		generation  int64
 		address     string
+		capacity    pimjob.Resources
 		draining    bool
 		passedOnAt  time.Duration
 		wasPassedOn bool
@@ -60,7 +61,7 @@
 
 func (f *heartbeatFilter) put(worker pimjob.Worker) {
 	f.workers[worker.ID] = &filteredWorker{
-		generation: worker.Generation, address: worker.Address, draining: worker.Draining,
+		generation: worker.Generation, address: worker.Address, capacity: worker.Capacity, draining: worker.Draining,
 	}
 }
 
@@ -72,6 +73,7 @@
 	known := f.workers[heartbeat.Worker.ID]
 	if known == nil || heartbeat.Worker.Draining || known.draining ||
 		known.generation != heartbeat.Worker.Generation || known.address != heartbeat.Worker.Address ||
+		known.capacity != heartbeat.Worker.Capacity ||
 		len(f.workers)*pimrelay.MaxConnectionsPerWorker <= budget {
 		return false
 	}
--- a/internal/job/pimcontrol/heartbeats_test.go
+++ b/internal/job/pimcontrol/heartbeats_test.go
@@ -1,6 +1,7 @@
 package pimcontrol
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,32 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 )
 
+// TestChangedCapacity guards against a worker whose capacity shrinks while it runs and that gets more runs than it then can
+// hold, and against a late heartbeat that takes back a newer one.
+func TestChangedCapacity(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := startLeader(ctx, t)
+	heartbeat := func(sequence, millicores int64) {
+		responded := false
+		c.heartbeat(pimrpc.Heartbeat{
+			Worker:   pimjob.Worker{ID: "w", Generation: 1, Address: "w:1", Capacity: pimjob.Resources{Millicores: millicores}},
+			Clock:    time.Duration(sequence) * time.Second,
+			Sequence: sequence,
+		}, func(pimrpc.Response) { responded = true })
+		advanceUntil(ctx, t, c, func() bool { return responded })
+	}
+	capacity := func() int64 { return c.state.Worker("w").Capacity.Millicores }
+	heartbeat(3, 8000)
+	assert.Equal(t, capacity(), int64(8000))
+	heartbeat(5, 2000)
+	assert.Equal(t, capacity(), int64(2000))
+	heartbeat(4, 8000)
+	assert.Equal(t, capacity(), int64(2000), "a heartbeat that was sent before")
+	heartbeat(6, 8000)
+	assert.Equal(t, capacity(), int64(8000))
+}
+
 // TestHeartbeatFilter guards against a heartbeat with news that does not reach the leader, and against thousands of workers
 // whose unchanged heartbeats all do.
 func TestHeartbeatFilter(t *testing.T) {
@@ -41,6 +68,7 @@
 			func(worker *pimjob.Worker) { worker.Generation = 2 },
 			func(worker *pimjob.Worker) { worker.Address = "a:2" },
 			func(worker *pimjob.Worker) { worker.ID = "new" },
+			func(worker *pimjob.Worker) { worker.Capacity = pimjob.Resources{Millicores: 1000} },
 		} {
 			assert.Assert(t, !filter.isRedundant(heartbeat(change), budget, 5*time.Second))
 		}
--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -29,6 +29,7 @@
 		case pimjob.WorkerChanged:
 			c.logger.Info().Str("worker", change.Worker.ID).Int64("born", change.Worker.Generation).
 				Bool("draining", change.Worker.Draining).Bool("gone", change.Removed).
+				Int64("millicores", change.Worker.Capacity.Millicores).Int64("memory-mb", change.Worker.Capacity.MemoryMB).
 				Str("failure-domain", change.Worker.Domain).Msg("worker was added, changed or removed")
 		case pimjob.ConfigChanged:
 			c.logger.Info().Int64("version", c.state.Config().Version).Int("queues", len(c.state.Config().Queues)).
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -269,8 +269,11 @@
 	if known != nil && known.Generation == worker.Generation && known.Draining {
 		worker.Draining = true
 	}
+	if known != nil && l.fleet.IsLateHeartbeat(worker.ID, worker.Generation, request.Sequence, request.Clock, c.now) {
+		worker.Capacity = known.Capacity
+	}
 	if known != nil && known.Generation == worker.Generation && known.Draining == worker.Draining &&
-		known.Address == worker.Address {
+		known.Address == worker.Address && known.Capacity == worker.Capacity {
 		l.fleet.OnHeartbeat(worker.ID, worker.Generation, request.Clock, request.StaysFor, c.now)
 		respond(pimrpc.Done{})
 		return
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -75,6 +75,8 @@
 		newGeneration int64
 		// proposedCursor is the highest EndedRun.Sequence whose end is proposed for the log.
 		proposedCursor int64
+		// heartbeatSequence is the highest sequence number of a heartbeat.
+		heartbeatSequence int64
 		// unhealthyUntil is when the worker may get new runs again.
 		unhealthyUntil time.Duration
 		// staysUntil is until when a draining worker stays at least, or 0 while it has not said so. saidStaysAt is the
@@ -102,6 +104,8 @@
 	maxStartAttempts = 3
 	// responseTimeout is the least time for which a call waits for a response, beside RenewLease.Wait.
 	responseTimeout = 450 * time.Millisecond
+	// maxHeartbeatAge is the age from which a heartbeat doesn't tell what its worker is like now.
+	maxHeartbeatAge = 2 * time.Second
 	// unhealthyBackoff is how long a worker that is unhealthy or out of capacity gets no new runs.
 	unhealthyBackoff = time.Second
 )
@@ -194,6 +198,20 @@
 	}
 }
 
+// IsLateHeartbeat reports whether a heartbeat of a worker generation was sent before another one that has arrived, or long
+// ago by the worker's clock.
+func (f *Fleet) IsLateHeartbeat(id string, generation, sequence int64, clock, now time.Duration) bool {
+	w := f.workers[id]
+	if w == nil || w.worker.Generation != generation {
+		return false
+	}
+	if sequence < w.heartbeatSequence {
+		return true
+	}
+	w.heartbeatSequence = sequence
+	return w.hasClock && clock > 0 && w.clock+now-w.clockAt-clock > maxHeartbeatAge
+}
+
 func (w *workerState) setClock(clock, now time.Duration) {
 	if clock <= 0 {
 		return
@@ -347,6 +365,11 @@
 		run.nextAt = f.now + retryDelay
 		return
 	}
+	if !f.hasCapacity(w) {
+		f.recordDecision("stopping a run that the worker's capacity no longer holds", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "")
+		f.stopRun(w, run)
+		return
+	}
 	run.attempts++
 	run.inFlight = true
 	f.calls = append(f.calls, StartRun{
@@ -355,6 +378,17 @@
 	})
 }
 
+// hasCapacity reports whether the worker's capacity, which may have shrunk, holds all its runs.
+func (f *Fleet) hasCapacity(w *workerState) bool {
+	var used pimjob.Resources
+	for id := range w.runs {
+		if _, step, _ := f.state.Task(id.key); step != nil {
+			used = used.Plus(step.Reserved())
+		}
+	}
+	return w.worker.Capacity.Fits(used)
+}
+
 func (w *workerState) target() Target {
 	return Target{ID: w.worker.ID, Generation: w.worker.Generation, Address: w.worker.Address}
 }
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -194,3 +194,31 @@
 	s.run(500 * time.Millisecond)
 	assert.Assert(t, !s.fleet.ObservedRuns("w1")[0].SpeedUnknown)
 }
+
+// TestStartAfterShrinking guards against a start command that is repeated after the capacity of its worker has shrunk below
+// what its runs need, which an executor that doesn't guard its capacity would carry out.
+func TestStartAfterShrinking(t *testing.T) {
+	s := newSimulation(t, 8, "w1")
+	resize := func(millicores int64) {
+		worker := *s.state.Worker("w1")
+		worker.Capacity = pimjob.Resources{Millicores: millicores, MemoryMB: 1000}
+		s.apply(pimjob.PutWorker{Worker: worker})
+	}
+	s.run(time.Second)
+	s.lostShare = 1
+	s.apply(pimjob.Submit{
+		Submission: pimjob.Submission{ID: "a", Spec: "s", Steps: []pimjob.Step{{
+			Count: 1, Estimate: time.Second, Need: pimjob.Resources{Millicores: 1500},
+		}}},
+		Queue: pimjob.Queue{Name: "q", Service: "svc", Attempts: 1000},
+	})
+	s.place()
+	s.applyFleetOutput()
+	resize(1000)
+	s.lostShare = 0
+	s.run(3 * time.Second)
+	assert.Equal(t, s.starts, 0)
+	resize(2000)
+	s.run(10 * time.Second)
+	s.assertCompleted("a")
+}
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -83,7 +83,16 @@
 	p.index.isStale = p.index.isStale || h.worker.Service != worker.Service
 	p.index.isSmallestKnown = p.index.isSmallestKnown && h.worker.Capacity == worker.Capacity
 	p.index.known = p.index.known.Minus(h.worker.Capacity).Plus(worker.Capacity)
-	p.index.change(h, func() { h.worker = worker })
+	if h.rack != nil {
+		h.rack.count(h, -1)
+	}
+	p.index.change(h, func() {
+		h.free = h.free.Minus(h.worker.Capacity).Plus(worker.Capacity)
+		h.worker = worker
+	})
+	if h.rack != nil {
+		h.rack.count(h, 1)
+	}
 }
 
 func (p *Planner) removeHost(id string) {
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -705,3 +705,27 @@
 		assert.Equal(t, len(workers), 4)
 	})
 }
+
+// TestChangedCapacity guards against starts on a host whose capacity has shrunk below what its runs use, runs that are being
+// stopped included, and against room that stays unused once the capacity has grown again.
+func TestChangedCapacity(t *testing.T) {
+	sim := newSimulation(t, 1)
+	resize := func(cores int64) {
+		worker := *sim.state.Worker("w00")
+		worker.Capacity.Millicores = cores * 1000
+		sim.apply(pimjob.PutWorker{Worker: worker})
+	}
+	sim.submit("first", 0, lasting(batch(4, 4), time.Minute))
+	sim.run(tickInterval)
+	assert.Equal(t, len(sim.runs), 4)
+	resize(14)
+	sim.submit("second", 0, lasting(batch(8, 2), time.Minute))
+	sim.run(time.Second)
+	assert.Equal(t, len(sim.runs), 4, "16 cores are in use, 14 left")
+	resize(19)
+	sim.run(time.Second)
+	assert.Equal(t, len(sim.runs), 5)
+	resize(hostCores)
+	sim.run(time.Second)
+	assert.Equal(t, len(sim.runs), 12)
+}
--- a/internal/job/pimrpc/messages.go
+++ b/internal/job/pimrpc/messages.go
@@ -47,7 +47,7 @@
 		Worker pimjob.Worker `msgpack:"w"`
 		// Clock is the worker's monotonic clock.
 		Clock time.Duration `msgpack:"c"`
-		// Sequence rises with each heartbeat of a generation. The leader does not use it.
+		// Sequence rises with each heartbeat of a generation.
 		Sequence int64 `msgpack:"s"`
 		// StaysFor is the minimum time for which a draining worker remains available, or 0 if it
 		// doesn't say.
