--- a/internal/job/pimcrash/judge.go
+++ b/internal/job/pimcrash/judge.go
@@ -75,11 +75,7 @@
 		}
 	}
 	for i := range verdicts {
-		count := verdicts[i].Record.Count
-		if othersCrash {
-			count--
-		}
-		verdicts[i].GivenUp = suspects[i].isGivenUp(count, ofGroup[suspects[i].Group])
+		verdicts[i].GivenUp = suspects[i].isGivenUp(verdicts[i].Record.Count, ofGroup[suspects[i].Group], othersCrash)
 	}
 	return verdicts
 }
@@ -87,16 +83,22 @@
 // isGivenUp reports whether the task is given up after count crashes. The more workers have crashed under it, the less
 // certain the last verdict has to be. Source of the bounds: the platform's specification lets a task be given up after two
 // crashes, and be started twice more after three.
-func (s *Suspect) isGivenUp(count, permille int) bool {
+func (s *Suspect) isGivenUp(count, permille int, othersCrash bool) bool {
 	switch {
 	case count < 2:
 		return false
 	case count == 2:
-		return permille >= 900 && s.isSimilar() && s.Record.IsSuspect()
+		return permille >= 900 && s.isSimilar() && s.Record.IsSuspect() && !othersCrash
+	case count == 3 && othersCrash:
+		return permille >= 900 && s.isSimilar()
 	case count == 3:
 		return permille >= 900 || (permille >= 500 && s.isSimilar())
-	default:
+	case count == 4 && othersCrash:
+		return permille >= 500
+	case count == 4:
 		return permille >= 250
+	default:
+		return permille >= 100
 	}
 }
 
