Count a crash under a task only if its worker is known to have begun the run

Callers would see: a job that is given up too early, here one that can't be done. It counted as the second crash. Fix: the mark of silence names the runs that the worker has neither confirmed nor listed.

--- a/internal/job/pimcontrol/report.go
+++ b/internal/job/pimcontrol/report.go
@@ -53,7 +53,7 @@
 		c.metrics.Add("tasks-given-up", 1)
 	}
 	c.logger.Warn().Stringer("task", suspect.Live.Key).Int("run", suspect.Live.Run.Number).Str("worker", suspect.Live.Run.Worker).
-		Int("crashes", suspect.Record.Count).Int("permille", suspect.Record.Permille).
+		Int("crashes", suspect.Record.Count).Int("confirmed", suspect.Record.Confirmed).Int("permille", suspect.Record.Permille).
 		Int64("age-ms", suspect.Record.Age.Milliseconds()).Bool("given-up", suspect.GivenUp).
 		Msg("task is suspected of crashing its worker")
 }
--- a/internal/job/pimcrash/unexplained.go
+++ b/internal/job/pimcrash/unexplained.go
@@ -10,7 +10,7 @@
 
 const (
 	// explainedWithin is how soon a task that crashes its workers has crashed another one.
-	explainedWithin = 6 * time.Second
+	explainedWithin = 10 * time.Second
 	// unexplainedRetention is for how long a crash counts.
 	unexplainedRetention = time.Minute
 	// From minUnexplained crashes and one for every workersPerUnexplained workers on, workers crash for other reasons.
--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -34,9 +34,11 @@
 	}
 	if len(w.runs) > 0 {
 		w.markedSilent = true
-		f.ops = append(f.ops, pimjob.MarkSilent{
-			ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince,
-		})
+		mark := pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince}
+		for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt == 0 }) {
+			mark.Unconfirmed = append(mark.Unconfirmed, run.live.Key)
+		}
+		f.ops = append(f.ops, mark)
 	}
 }
 
--- a/internal/job/pimjob/crash.go
+++ b/internal/job/pimjob/crash.go
@@ -1,18 +1,20 @@
 package pimjob
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
 )
 
 type (
-	// silence is since when, in milliseconds since 1970, a generation of a worker has not responded. Expired holds the runs
-	// that its lease has ended since.
+	// silence is since when, in milliseconds since 1970, a generation of a worker has not responded. Unconfirmed are the tasks
+	// of the runs that it may not have begun. Expired holds the runs that its lease has ended since.
 	silence struct {
-		Generation int64     `msgpack:"b"`
-		Since      int64     `msgpack:"s"`
-		Expired    []LiveRun `msgpack:"e,omitempty"`
+		Generation  int64     `msgpack:"b"`
+		Since       int64     `msgpack:"s"`
+		Unconfirmed []TaskKey `msgpack:"u,omitempty"`
+		Expired     []LiveRun `msgpack:"e,omitempty"`
 	}
 )
 
@@ -31,7 +33,9 @@
 	if s.tables.Silences == nil {
 		s.tables.Silences = map[string]*silence{}
 	}
-	s.tables.Silences[op.ID] = &silence{Generation: op.Generation, Since: s.tables.Now - op.SilentFor.Milliseconds()}
+	s.tables.Silences[op.ID] = &silence{
+		Generation: op.Generation, Since: s.tables.Now - op.SilentFor.Milliseconds(), Unconfirmed: op.Unconfirmed,
+	}
 }
 
 // IsSilent reports whether a worker is recorded as not responding.
@@ -48,41 +52,48 @@
 // endGeneration ends the runs of a generation of a worker that has ended. If it has crashed, tasks that seem to crash their
 // workers are given up.
 func (s *State) endGeneration(worker *Worker, crashed bool) []Change {
-	runs, since := s.runsOf(worker.ID, worker.Generation), s.tables.Now
-	if known := s.tables.Silences[worker.ID]; known != nil && known.Generation == worker.Generation {
-		runs, since = append(known.Expired, runs...), known.Since
+	runs := s.runsOf(worker.ID, worker.Generation)
+	known := s.tables.Silences[worker.ID]
+	if known == nil || known.Generation != worker.Generation {
+		// Nothing tells when it crashed, so that no run is known to have begun before.
+		known = &silence{Since: s.tables.Now}
+		for _, live := range runs {
+			known.Unconfirmed = append(known.Unconfirmed, live.Key)
+		}
 	}
+	runs = append(known.Expired, runs...)
 	delete(s.tables.Silences, worker.ID)
 	changes := s.endRunsOn(worker.ID, worker.Generation, EndLost)
 	if !crashed {
 		return changes
 	}
 	changes = append(changes, WorkerCrashed{worker.ID, worker.Generation, len(runs)})
-	return append(changes, s.judgeCrash(runs, since)...)
+	return append(changes, s.judgeCrash(runs, known)...)
 }
 
-// judgeCrash records a crash in the tasks of those runs that had begun before, and fails the jobs of the tasks that are given
-// up.
-func (s *State) judgeCrash(runs []LiveRun, crashedAt int64) []Change {
-	var begun []LiveRun
+// judgeCrash records a crash in the tasks of those runs that had been started before, and fails the jobs of the tasks that are
+// given up.
+func (s *State) judgeCrash(runs []LiveRun, crash *silence) []Change {
+	var started []LiveRun
 	var suspects []pimcrash.Suspect
 	for _, live := range runs {
 		task, _, _ := s.Task(live.Key)
-		if task == nil || live.Run.StartedAt > crashedAt {
+		if task == nil || live.Run.StartedAt > crash.Since {
 			continue
 		}
 		suspect := pimcrash.Suspect{
-			Group: live.Key.Job, Age: time.Duration(crashedAt-live.Run.StartedAt) * time.Millisecond,
+			Group: live.Key.Job, Age: time.Duration(crash.Since-live.Run.StartedAt) * time.Millisecond,
+			Confirmed: !slices.Contains(crash.Unconfirmed, live.Key),
 		}
 		if task.Crash != nil {
 			suspect.Record = *task.Crash
 		}
-		begun, suspects = append(begun, live), append(suspects, suspect)
+		started, suspects = append(started, live), append(suspects, suspect)
 	}
 	var changes []Change
 	explained := false
 	for i, verdict := range pimcrash.Judge(suspects, s.tables.Unexplained.AreMany(s.tables.Now, len(s.tables.Workers))) {
-		task, _, job := s.Task(begun[i].Key)
+		task, _, job := s.Task(started[i].Key)
 		if task.Done || job.State.IsEnded() {
 			continue
 		}
@@ -93,7 +104,7 @@
 		verdict.Record.JudgedAt = s.tables.Now
 		task.Crash = &verdict.Record
 		if task.Crash.IsSuspect() {
-			changes = append(changes, TaskSuspected{begun[i], verdict.Record, verdict.GivenUp})
+			changes = append(changes, TaskSuspected{started[i], verdict.Record, verdict.GivenUp})
 		}
 		if verdict.GivenUp {
 			changes = append(changes, s.endJob(job, Failed)...)
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -262,6 +262,18 @@
 			assert.Equal(t, s.Job("a").State, test.state)
 		})
 	}
+	t.Run("a run that may not have begun proves nothing", func(t *testing.T) {
+		s := newState(submit(submission("a", 2)))
+		for generation := int64(1); generation <= 3; generation++ {
+			at := baseTime + generation*10_000
+			s.Apply(at, []pimjob.Op{pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation}})
+			s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{
+				ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)},
+			}})
+			s.Apply(at+3000, []pimjob.Op{next(generation + 1)})
+			assert.Equal(t, s.Job("a").State, pimjob.Running)
+		}
+	})
 	t.Run("a start after the crash is none", func(t *testing.T) {
 		s := newState(submit(submission("a", 2)))
 		s.Apply(baseTime+1000, []pimjob.Op{pimjob.MarkSilent{ID: "w1", Generation: 1}})
