Compute the cause of a crash alike on all processors, and name a method after what it does

The replicated state holds a probability that is computed in floating point: where a compiler fuses operations, as on arm64, replicas on different processors could have differed. ObserveSequence, before IsLateHeartbeat, records what it is asked about. A worker that responds again and crashes later has its loss logged again. No change of behaviour on amd64: the tests of pimcrash, pimcontrol and pimfleet pass.

--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -269,7 +269,8 @@
 	if known != nil && known.Generation == worker.Generation && known.Draining {
 		worker.Draining = true
 	}
-	if known != nil && l.fleet.IsLateHeartbeat(worker.ID, worker.Generation, request.Sequence, request.Clock, c.now) {
+	late := l.fleet.ObserveSequence(worker.ID, worker.Generation, request.Sequence, request.Clock, c.now)
+	if known != nil && late {
 		worker.Capacity = known.Capacity
 	}
 	if known != nil && known.Generation == worker.Generation && known.Draining == worker.Draining &&
--- a/internal/job/pimcrash/judge.go
+++ b/internal/job/pimcrash/judge.go
@@ -64,7 +64,7 @@
 func Judge(suspects []Suspect, othersCrash bool) []Verdict {
 	weights, total := make([]float64, len(suspects)), otherCauses
 	for i := range suspects {
-		weights[i] = suspects[i].weight()
+		weights[i] = float64(suspects[i].weight())
 		total += weights[i]
 	}
 	verdicts := make([]Verdict, len(suspects))
@@ -115,18 +115,19 @@
 }
 
 // weight is proportional to the probability that the run caused the crash. A task that crashes its workers mostly does so
-// soon after its start.
+// soon after its start. The conversions keep the compiler from fusing operations, which would give replicas on different
+// processors different results.
 func (s *Suspect) weight() float64 {
 	age := (max(0, s.Age) + shortestFuse).Seconds()
 	weight := 1 / (age * age)
 	if s.Record.Count == 0 || s.isCleared() {
 		return weight
 	}
-	permille := float64(s.Record.Permille) / 1000
+	probability := float64(s.Record.Permille) / 1000
 	if s.isSimilar() {
-		return weight * similarFactor * (1 + similarShareFactor*permille)
+		return weight * similarFactor * (1 + float64(similarShareFactor*probability))
 	}
-	return weight * (1 + repeatFactor*permille)
+	return weight * (1 + float64(repeatFactor*probability))
 }
 
 // isSimilar reports whether the run is about as old as that at the last crash.
--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -44,7 +44,7 @@
 
 // endSilence records that the worker responds.
 func (f *Fleet) endSilence(w *workerState) {
-	w.silentSince = 0
+	w.silentSince, w.lossReported = 0, false
 	if w.markedSilent || f.state.IsSilent(w.worker.ID) {
 		w.markedSilent = false
 		f.ops = append(f.ops, pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, RespondsAgain: true})
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -198,9 +198,9 @@
 	}
 }
 
-// IsLateHeartbeat reports whether a heartbeat of a worker generation was sent before another one that has arrived, or long
-// ago by the worker's clock.
-func (f *Fleet) IsLateHeartbeat(id string, generation, sequence int64, clock, now time.Duration) bool {
+// ObserveSequence records the sequence number of a heartbeat of a worker generation and reports whether the heartbeat is
+// late: sent before another one that has arrived, or long ago by the worker's clock.
+func (f *Fleet) ObserveSequence(id string, generation, sequence int64, clock, now time.Duration) (late bool) {
 	w := f.workers[id]
 	if w == nil || w.worker.Generation != generation {
 		return false
