End the observation of a suspect that has not crashed its host

A host counted as one with a suspect for as long as the run lasted. The new case of TestSuspectsAreIsolated failed before.

--- a/internal/job/pimplan/hostindex_test.go
+++ b/internal/job/pimplan/hostindex_test.go
@@ -159,7 +159,7 @@
 		for _, c := range appendCandidates(nil, job, 0) {
 			step := &job.Submission.Steps[0]
 			c.tasks = slices.DeleteFunc(c.tasks, func(index int) bool {
-				return f.now < p.isolation.triedUntil[c.key.job] && p.isSuspect(c.taskKey(index))
+				return f.now < p.isolation.observedUntil[c.key.job] && p.isSuspect(c.taskKey(index))
 			})
 			if len(c.tasks) == 0 {
 				continue
--- a/internal/job/pimplan/isolate.go
+++ b/internal/job/pimplan/isolate.go
@@ -1,9 +1,11 @@
 package pimplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
 )
 
@@ -11,18 +13,16 @@
 	// isolation keeps the tasks that are suspected of crashing their hosts apart, so that the next crash tells which of them
 	// was the cause. Another leader's planner begins without it: it lasts about as long as an election.
 	isolation struct {
-		// hosts holds the hosts with a suspect, by id.
+		// hosts holds the hosts with a suspect under observation, by id.
 		hosts map[string]*isolatedHost
-		// triedUntil is until when a suspect of a job is observed, by job.
-		triedUntil map[string]time.Duration
-		// closed counts the hosts that get no new runs.
-		closed int
+		// observedUntil is until when a suspect of a job is observed, by job.
+		observedUntil map[string]time.Duration
 	}
 
-	// isolatedHost is a host with suspects. It gets no new runs until closedUntil.
+	// isolatedHost is a host on which suspects are observed. While it is closed, it gets no new runs.
 	isolatedHost struct {
-		suspects    []pimjob.TaskKey
-		closedUntil time.Duration
+		observedUntil time.Duration
+		closed        bool
 	}
 )
 
@@ -38,7 +38,7 @@
 )
 
 func newIsolation() isolation {
-	return isolation{hosts: map[string]*isolatedHost{}, triedUntil: map[string]time.Duration{}}
+	return isolation{hosts: map[string]*isolatedHost{}, observedUntil: map[string]time.Duration{}}
 }
 
 func (p *Planner) isSuspect(key pimjob.TaskKey) bool {
@@ -46,45 +46,39 @@
 	return task != nil && task.Crash.IsSuspect()
 }
 
-// isolate records a suspect on a host.
-func (i *isolation) isolate(host string, key pimjob.TaskKey) *isolatedHost {
+// observe records that a suspect starts on a host and returns the host's entry.
+func (i *isolation) observe(host string, suspect *pimcrash.Record, now time.Duration) *isolatedHost {
 	isolated := i.hosts[host]
 	if isolated == nil {
 		isolated = &isolatedHost{}
 		i.hosts[host] = isolated
 	}
-	if !slices.Contains(isolated.suspects, key) {
-		isolated.suspects = append(isolated.suspects, key)
-	}
+	observation := minObservation + time.Duration(observedAges*float64(suspect.Age))
+	isolated.observedUntil = max(isolated.observedUntil, now+min(maxObservation, observation))
 	return isolated
 }
 
 // isClosed reports whether a host gets no new runs because a suspect on it is observed.
 func (i *isolation) isClosed(host string, now time.Duration) bool {
 	isolated := i.hosts[host]
-	return isolated != nil && now < isolated.closedUntil
+	return isolated != nil && isolated.closed && now < isolated.observedUntil
 }
 
-// refreshIsolation forgets the suspects whose runs have ended or were not committed.
-func (p *Planner) refreshIsolation(now time.Duration) {
-	p.isolation.closed = 0
-	for id, isolated := range p.isolation.hosts {
-		isolated.suspects = slices.DeleteFunc(isolated.suspects, func(key pimjob.TaskKey) bool {
-			task, _, _ := p.state.Task(key)
-			return task == nil || task.Run == nil || task.Run.Worker != id
-		})
-		switch {
-		case len(isolated.suspects) == 0:
-			delete(p.isolation.hosts, id)
-		case now < isolated.closedUntil:
-			p.isolation.closed++
-		}
-	}
-	for job, until := range p.isolation.triedUntil {
-		if now >= until {
-			delete(p.isolation.triedUntil, job)
+// countClosed returns how many hosts are closed.
+func (i *isolation) countClosed() int {
+	count := 0
+	for _, isolated := range i.hosts {
+		if isolated.closed {
+			count++
 		}
 	}
+	return count
+}
+
+// refresh ends the observations that have lasted long enough.
+func (i *isolation) refresh(now time.Duration) {
+	maps.DeleteFunc(i.hosts, func(_ string, isolated *isolatedHost) bool { return now >= isolated.observedUntil })
+	maps.DeleteFunc(i.observedUntil, func(_ string, until time.Duration) bool { return now >= until })
 }
 
 // placeSuspects starts the suspects among the tasks of a step, one of a job at a time, on hosts without others, and removes
@@ -99,7 +93,7 @@
 		switch {
 		case !p.isSuspect(key):
 			others = append(others, index)
-		case p.index.now < p.isolation.triedUntil[key.Job] && !c.starved:
+		case p.index.now < p.isolation.observedUntil[key.Job] && !c.starved:
 		default:
 			h := p.placeSuspect(c, step, key)
 			if h == nil {
@@ -128,13 +122,11 @@
 	}
 	quota.add(step.Need, 1)
 	task, _, _ := p.state.Task(key)
-	observed := minObservation + time.Duration(observedAges*float64(task.Crash.Age))
-	until := p.index.now + min(maxObservation, observed)
-	p.isolation.triedUntil[key.Job] = until
-	isolated := p.isolation.isolate(h.worker.ID, key)
-	if p.isolation.closed < max(1, int(maxClosedShare*float64(len(p.index.sorted)))) {
-		p.isolation.closed++
-		isolated.closedUntil = until
+	closed := p.isolation.countClosed()
+	isolated := p.isolation.observe(h.worker.ID, task.Crash, p.index.now)
+	p.isolation.observedUntil[key.Job] = isolated.observedUntil
+	if closed < max(1, int(maxClosedShare*float64(len(p.index.sorted)))) {
+		isolated.closed = true
 		p.index.change(h, func() { h.schedulable = false })
 	}
 	return h
--- a/internal/job/pimplan/isolate_test.go
+++ b/internal/job/pimplan/isolate_test.go
@@ -1,6 +1,7 @@
 package pimplan_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -81,6 +82,35 @@
 		assert.Equal(t, sim.hostsOf("a-bystander")[0], "w00")
 		assert.Equal(t, sim.hostsOf("suspect")[0], "w01")
 	})
+	t.Run("a suspect that has not crashed its host no longer keeps others away", func(t *testing.T) {
+		sim := newSimulation(t, 4)
+		use := func(only ...string) {
+			for _, worker := range sim.state.Workers() {
+				sim.unusable[worker.ID] = len(only) > 0 && !slices.Contains(only, worker.ID)
+			}
+		}
+		use("w00")
+		service := slow(1, 1)
+		service.LongRunning = true
+		for _, id := range []string{"service-a", "service-b", "service-c", "service-d"} {
+			sim.submit(id, 0, service)
+		}
+		sim.run(tickInterval)
+		use()
+		sim.crash("w00")
+		sim.run(5 * time.Second)
+		use("w01", "w02", "w03")
+		sim.submit("busy", 0, slow(3, 20))
+		sim.run(time.Second)
+		use("w00")
+		sim.submit("suspect-a", 0, slow(1, 1))
+		sim.submit("suspect-b", 0, slow(1, 1))
+		sim.run(tickInterval)
+		use()
+		sim.crash("w00")
+		sim.run(tickInterval)
+		assert.Assert(t, sim.hostsOf("suspect-a")[0] != sim.hostsOf("suspect-b")[0])
+	})
 	t.Run("suspects of one job are tried one after the other", func(t *testing.T) {
 		sim := newCrash(t, slow(3, 4))
 		sim.run(tickInterval)
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -173,9 +173,6 @@
 		p.putHost(*worker)
 		for key := range state.RunsOn(worker.ID) {
 			p.liveRuns[key.Job]++
-			if p.isSuspect(key) {
-				p.isolation.isolate(worker.ID, key)
-			}
 		}
 	}
 	for _, job := range state.OpenJobs() {
@@ -191,7 +188,7 @@
 		case pimjob.JobAccepted:
 			p.changedJobs[change.Job.Submission.ID] = true
 		case pimjob.RunStarted:
-			p.onRunStarted(change.Live)
+			p.onRunStarted(change.Live, now)
 		case pimjob.RunEnded:
 			p.onRunEnded(change.Live, change.Kind, now)
 		case pimjob.JobEnded:
@@ -207,12 +204,12 @@
 	}
 }
 
-func (p *Planner) onRunStarted(live pimjob.LiveRun) {
+func (p *Planner) onRunStarted(live pimjob.LiveRun, now time.Duration) {
 	p.changedJobs[live.Key.Job] = true
 	p.liveRuns[live.Key.Job]++
 	p.beginPace(live)
-	if p.isSuspect(live.Key) {
-		p.isolation.isolate(live.Run.Worker, live.Key)
+	if task, _, _ := p.state.Task(live.Key); task != nil && task.Crash.IsSuspect() {
+		p.isolation.observe(live.Run.Worker, task.Crash, now)
 	}
 	if h := p.hosts[live.Run.Worker]; h != nil {
 		_, step, _ := p.state.Task(live.Key)
@@ -276,7 +273,7 @@
 	var plan Plan
 	p.refreshJobs(now, wallClock)
 	p.quotas = map[string]*quotaUse{}
-	p.refreshIsolation(now)
+	p.isolation.refresh(now)
 	p.refreshHosts(now)
 	p.selectHealthyHosts(now)
 	var placements []placement
