Use confirmations that arrive after the worker fell silent

The leader marks the silence again then, and the state keeps the tasks that are unconfirmed in both marks, so that the next leader, which has not heard of a run, takes nothing back. The new case of TestCrashes failed before.

--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -33,13 +33,19 @@
 		w.silentSince = w.heardAt
 	}
 	if len(w.runs) > 0 {
-		w.markedSilent = true
-		mark := pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince}
-		for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt == 0 }) {
-			mark.Unconfirmed = append(mark.Unconfirmed, run.live.Key)
-		}
-		f.ops = append(f.ops, mark)
+		f.markSilent(w)
+	}
+}
+
+// markSilent proposes to record that the worker does not respond, and which of its runs it may not have begun. It is called
+// again when a response that was on its way confirms one of them.
+func (f *Fleet) markSilent(w *workerState) {
+	w.markedSilent = true
+	mark := pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince}
+	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt == 0 }) {
+		mark.Unconfirmed = append(mark.Unconfirmed, run.live.Key)
 	}
+	f.ops = append(f.ops, mark)
 }
 
 // endSilence records that the worker responds.
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -213,6 +213,9 @@
 	switch result.Outcome {
 	case OutcomeExecuted:
 		f.confirmRun(run)
+		if w.markedSilent {
+			f.markSilent(w)
+		}
 		f.advanceRun(w, run)
 	case OutcomeRejected, OutcomeUnhealthy:
 		f.onStartRejected(w, run, result)
--- a/internal/job/pimjob/crash.go
+++ b/internal/job/pimjob/crash.go
@@ -28,6 +28,9 @@
 		return
 	}
 	if known := s.tables.Silences[op.ID]; known != nil && known.Generation == op.Generation {
+		known.Unconfirmed = slices.DeleteFunc(known.Unconfirmed, func(key TaskKey) bool {
+			return !slices.Contains(op.Unconfirmed, key)
+		})
 		return
 	}
 	if s.tables.Silences == nil {
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -274,6 +274,21 @@
 			assert.Equal(t, s.Job("a").State, pimjob.Running)
 		}
 	})
+	t.Run("a run that is confirmed after the worker fell silent counts", func(t *testing.T) {
+		s := newState(submit(submission("a", 2)))
+		for generation := int64(1); generation <= 2; generation++ {
+			at := baseTime + generation*10_000
+			s.Apply(at, []pimjob.Op{pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation}})
+			s.Apply(at+fuse, []pimjob.Op{
+				pimjob.MarkSilent{ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)}},
+				pimjob.MarkSilent{ID: "w1", Generation: generation},
+				// The next leader has not heard of the run.
+				pimjob.MarkSilent{ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)}},
+			})
+			s.Apply(at+3000, []pimjob.Op{next(generation + 1)})
+		}
+		assert.Equal(t, s.Job("a").State, pimjob.Failed)
+	})
 	t.Run("a start after the crash is none", func(t *testing.T) {
 		s := newState(submit(submission("a", 2)))
 		s.Apply(baseTime+1000, []pimjob.Op{pimjob.MarkSilent{ID: "w1", Generation: 1}})
