Count a run as begun only if its worker has confirmed it

Cause: the mark of silence named the runs that the worker had not confirmed. Fix: the mark names the runs that the worker has confirmed, a further mark adds to them. What it doesn't name has not begun. The case 'a run that may not have begun proves nothing' of TestCrashes is that order of entries.

--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -37,13 +37,13 @@
 	}
 }
 
-// markSilent proposes to record that the worker does not respond, and which of its runs it may not have begun. It is called
-// again when a response that was on its way confirms one of them.
+// markSilent proposes to record that the worker does not respond, and which of its runs it has begun. It is called again when
+// a response that was on its way confirms another one.
 func (f *Fleet) markSilent(w *workerState) {
 	w.markedSilent = true
 	mark := pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince}
-	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt == 0 }) {
-		mark.Unconfirmed = append(mark.Unconfirmed, run.live.Key)
+	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt > 0 }) {
+		mark.Confirmed = append(mark.Confirmed, run.live.Key)
 	}
 	f.ops = append(f.ops, mark)
 }
--- a/internal/job/pimjob/crash.go
+++ b/internal/job/pimjob/crash.go
@@ -8,13 +8,13 @@
 )
 
 type (
-	// silence is since when, in milliseconds since 1970, a generation of a worker has not responded. Unconfirmed are the tasks
-	// of the runs that it may not have begun. Expired holds the runs that its lease has ended since.
+	// silence is since when, in milliseconds since 1970, a generation of a worker has not responded. Confirmed are the tasks of
+	// the runs that it is known to have begun. Expired holds the runs that its lease has ended since.
 	silence struct {
-		Generation  int64     `msgpack:"b"`
-		Since       int64     `msgpack:"s"`
-		Unconfirmed []TaskKey `msgpack:"u,omitempty"`
-		Expired     []LiveRun `msgpack:"e,omitempty"`
+		Generation int64     `msgpack:"b"`
+		Since      int64     `msgpack:"s"`
+		Confirmed  []TaskKey `msgpack:"c,omitempty"`
+		Expired    []LiveRun `msgpack:"e,omitempty"`
 	}
 )
 
@@ -28,16 +28,18 @@
 		return
 	}
 	if known := s.tables.Silences[op.ID]; known != nil && known.Generation == op.Generation {
-		known.Unconfirmed = slices.DeleteFunc(known.Unconfirmed, func(key TaskKey) bool {
-			return !slices.Contains(op.Unconfirmed, key)
-		})
+		for _, key := range op.Confirmed {
+			if !slices.Contains(known.Confirmed, key) {
+				known.Confirmed = append(known.Confirmed, key)
+			}
+		}
 		return
 	}
 	if s.tables.Silences == nil {
 		s.tables.Silences = map[string]*silence{}
 	}
 	s.tables.Silences[op.ID] = &silence{
-		Generation: op.Generation, Since: s.tables.Now - op.SilentFor.Milliseconds(), Unconfirmed: op.Unconfirmed,
+		Generation: op.Generation, Since: s.tables.Now - op.SilentFor.Milliseconds(), Confirmed: op.Confirmed,
 	}
 }
 
@@ -60,9 +62,6 @@
 	if known == nil || known.Generation != worker.Generation {
 		// Nothing tells when it crashed, so that no run is known to have begun before.
 		known = &silence{Since: s.tables.Now}
-		for _, live := range runs {
-			known.Unconfirmed = append(known.Unconfirmed, live.Key)
-		}
 	}
 	runs = append(known.Expired, runs...)
 	delete(s.tables.Silences, worker.ID)
@@ -86,7 +85,7 @@
 		}
 		suspect := pimcrash.Suspect{
 			Group: live.Key.Job, Age: time.Duration(crash.Since-live.Run.StartedAt) * time.Millisecond,
-			Confirmed: !slices.Contains(crash.Unconfirmed, live.Key),
+			Confirmed: slices.Contains(crash.Confirmed, live.Key),
 		}
 		if task.Crash != nil {
 			suspect.Record = *task.Crash
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -83,13 +83,13 @@
 	}
 
 	// MarkSilent records that a worker's generation has not responded for some time, or that it responds again. If it has
-	// crashed, the ages of its runs at that time tell which of them may be the cause, also to later leaders. Unconfirmed are
-	// the tasks of the runs that the worker may not have begun.
+	// crashed, the ages of its runs at that time tell which of them may be the cause, also to later leaders. Confirmed are the
+	// tasks of the runs that the worker is known to have begun.
 	MarkSilent struct {
 		ID            string        `msgpack:"i"`
 		Generation    int64         `msgpack:"b"`
 		SilentFor     time.Duration `msgpack:"s,omitempty"`
-		Unconfirmed   []TaskKey     `msgpack:"u,omitempty"`
+		Confirmed     []TaskKey     `msgpack:"c,omitempty"`
 		RespondsAgain bool          `msgpack:"r,omitempty"`
 	}
 
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -216,7 +216,9 @@
 		s.Apply(at, []pimjob.Op{pimjob.Start{
 			Key: key("a", 0, 0), Number: task.LastRun + 1, Worker: "w1", Generation: generation,
 		}})
-		s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{ID: "w1", Generation: generation}})
+		s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{
+			ID: "w1", Generation: generation, Confirmed: []pimjob.TaskKey{key("a", 0, 0)},
+		}})
 		s.Apply(at+3000, ops)
 		// The next leader starts from a snapshot.
 		data, err := s.Snapshot()
@@ -266,11 +268,14 @@
 		s := newState(submit(submission("a", 2)))
 		for generation := int64(1); generation <= 3; generation++ {
 			at := baseTime + generation*10_000
-			s.Apply(at, []pimjob.Op{pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation}})
-			s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{
-				ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)},
-			}})
+			// The start is proposed before the worker falls silent and committed with the mark.
+			s.Apply(at, []pimjob.Op{
+				pimjob.MarkSilent{ID: "w1", Generation: generation},
+				pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation},
+			})
 			s.Apply(at+3000, []pimjob.Op{next(generation + 1)})
+			task, _, _ := s.Task(key("a", 0, 0))
+			assert.Equal(t, task.Crash.Confirmed, 0)
 			assert.Equal(t, s.Job("a").State, pimjob.Running)
 		}
 	})
@@ -280,10 +285,10 @@
 			at := baseTime + generation*10_000
 			s.Apply(at, []pimjob.Op{pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation}})
 			s.Apply(at+fuse, []pimjob.Op{
-				pimjob.MarkSilent{ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)}},
 				pimjob.MarkSilent{ID: "w1", Generation: generation},
+				pimjob.MarkSilent{ID: "w1", Generation: generation, Confirmed: []pimjob.TaskKey{key("a", 0, 0)}},
 				// The next leader has not heard of the run.
-				pimjob.MarkSilent{ID: "w1", Generation: generation, Unconfirmed: []pimjob.TaskKey{key("a", 0, 0)}},
+				pimjob.MarkSilent{ID: "w1", Generation: generation},
 			})
 			s.Apply(at+3000, []pimjob.Op{next(generation + 1)})
 		}
