--- a/internal/job/pimcrash/judge.go
+++ b/internal/job/pimcrash/judge.go
@@ -37,8 +37,8 @@
 )
 
 const (
-	// shortestFuse limits the weight of a run that has just been started: its start is recorded before the worker has it.
-	shortestFuse = 100 * time.Millisecond
+	// ageOffset limits the weight of a run that has just been started: its start is recorded before the worker has it.
+	ageOffset = 100 * time.Millisecond
 	// otherCauses is the weight of all causes other than the runs, that of a run with an age of 0.9 s.
 	otherCauses = 1.0
 	// A task is likelier the cause if it seemed to be the cause of an earlier crash: by up to repeatFactor, or, at a similar
@@ -118,7 +118,7 @@
 // soon after its start. The conversions keep the compiler from fusing operations, which would give replicas on different
 // processors different results.
 func (s *Suspect) weight() float64 {
-	age := (max(0, s.Age) + shortestFuse).Seconds()
+	age := (max(0, s.Age) + ageOffset).Seconds()
 	weight := 1 / (age * age)
 	if s.Record.Count == 0 || s.isCleared() {
 		return weight
--- a/internal/job/pimcrash/judge_test.go
+++ b/internal/job/pimcrash/judge_test.go
@@ -9,10 +9,10 @@
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
 )
 
-const fuse = 20 * time.Millisecond
+const delay = 20 * time.Millisecond
 
-// bystanders are the runs of other jobs on a worker.
-func bystanders(ages ...time.Duration) []pimcrash.Suspect {
+// runsAged returns runs of different other jobs with the given ages.
+func runsAged(ages ...time.Duration) []pimcrash.Suspect {
 	var suspects []pimcrash.Suspect
 	for i, age := range ages {
 		suspects = append(suspects, pimcrash.Suspect{Group: string(rune('a' + i)), Age: age})
@@ -33,20 +33,20 @@
 // TestJudge guards against a task that crashes its workers and isn't recognized within the starts that it may have, and
 // against tasks that are given up for crashes with another cause.
 func TestJudge(t *testing.T) {
-	busy := bystanders(200*time.Millisecond, 500*time.Millisecond, time.Second, time.Second, 3*time.Second)
+	busy := runsAged(200*time.Millisecond, 500*time.Millisecond, time.Second, time.Second, 3*time.Second)
 	for name, test := range map[string]struct {
 		others  []pimcrash.Suspect
 		ages    []time.Duration
 		givenUp bool
 	}{
-		"one crash proves nothing":                           {nil, []time.Duration{fuse}, false},
-		"two crashes right after the start":                  {busy, []time.Duration{fuse, fuse}, true},
-		"three crashes beside runs that are as young":        {bystanders(fuse, fuse, fuse), []time.Duration{fuse, fuse, fuse}, true},
+		"one crash proves nothing":                           {nil, []time.Duration{delay}, false},
+		"two crashes right after the start":                  {busy, []time.Duration{delay, delay}, true},
+		"three crashes beside runs that are as young":        {runsAged(delay, delay, delay), []time.Duration{delay, delay, delay}, true},
 		"two crashes a second after the start":               {busy, []time.Duration{time.Second, time.Second}, false},
 		"three crashes a second after the start":             {busy, []time.Duration{time.Second, time.Second, time.Second}, true},
-		"two crashes at different ages, alone on the worker": {nil, []time.Duration{fuse, 640 * time.Millisecond}, false},
+		"two crashes at different ages, alone on the worker": {nil, []time.Duration{delay, 640 * time.Millisecond}, false},
 		"crashes of a worker under old runs":                 {nil, []time.Duration{30 * time.Second, 3 * time.Second, 20 * time.Second}, false},
-		"a long run clears the task":                         {busy, []time.Duration{fuse, 6 * time.Second, fuse}, false},
+		"a long run clears the task":                         {busy, []time.Duration{delay, 6 * time.Second, delay}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			verdict := crashes(test.others, test.ages...)
@@ -54,7 +54,7 @@
 		})
 	}
 	t.Run("a task is not given up for others that crash its workers", func(t *testing.T) {
-		others := append(busy, pimcrash.Suspect{Group: "guilty", Age: fuse})
+		others := append(busy, pimcrash.Suspect{Group: "cause", Age: delay})
 		once := crashes(others, 700*time.Millisecond)
 		assert.Assert(t, !once.Record.IsSuspect())
 		assert.Assert(t, !crashes(others, 700*time.Millisecond, 700*time.Millisecond).GivenUp)
@@ -66,7 +66,7 @@
 		}
 		assert.Assert(t, !others.AreMany(2000, 10), "a task may still turn out to be the cause")
 		assert.Assert(t, others.AreMany(15_000, 10) && !others.AreMany(15_000, 100) && !others.AreMany(100_000, 10))
-		twice := pimcrash.Suspect{Group: "job", Age: fuse, Confirmed: true, Record: crashes(busy, fuse).Record}
+		twice := pimcrash.Suspect{Group: "job", Age: delay, Confirmed: true, Record: crashes(busy, delay).Record}
 		verdict := pimcrash.Judge([]pimcrash.Suspect{twice}, true)[0]
 		assert.Assert(t, !verdict.GivenUp)
 		twice.Record = verdict.Record
@@ -75,7 +75,7 @@
 		assert.Assert(t, !others.AreMany(15_000, 10))
 	})
 	t.Run("crashes under runs that may not have begun prove less", func(t *testing.T) {
-		suspect := pimcrash.Suspect{Group: "job", Age: fuse}
+		suspect := pimcrash.Suspect{Group: "job", Age: delay}
 		for count := 1; count <= 5; count++ {
 			verdict := pimcrash.Judge([]pimcrash.Suspect{suspect}, false)[0]
 			assert.Equal(t, verdict.GivenUp, count >= 4, "%+v", verdict.Record)
@@ -83,7 +83,7 @@
 		}
 	})
 	t.Run("two tasks of a job together end it", func(t *testing.T) {
-		both := bystanders(fuse, fuse)
+		both := runsAged(delay, delay)
 		both[0].Group, both[1].Group = "job", "job"
 		both[0].Confirmed, both[1].Confirmed = true, true
 		for i, verdict := range pimcrash.Judge(both, false) {
--- a/internal/job/pimfleet/crash_simulation_test.go
+++ b/internal/job/pimfleet/crash_simulation_test.go
@@ -16,8 +16,8 @@
 
 // crashSimulation has tasks that crash each worker that starts them. A worker is back some time after its crash.
 type crashSimulation struct {
-	// fuse is how long after its start such a task crashes its worker, downtime how long the worker is down.
-	fuse, downtime time.Duration
+	// delay is how long after its start such a task crashes its worker, downtime how long the worker is down.
+	delay, downtime time.Duration
 	// crashes and starts count, by such task, the workers that crashed under it and its starts.
 	crashes, starts map[pimjob.TaskKey]int
 	// gangs are the jobs whose tasks work only together and of which one crashes its workers.
@@ -42,8 +42,8 @@
 func (c *crashSimulation) onStart(s *simulation, worker *fakeWorker, key pimjob.TaskKey, run *fakeRun) {
 	if _, ok := c.crashes[key]; ok {
 		c.starts[key]++
-		run.crashesAt, run.doneAt, run.fails = s.now+c.fuse, s.now+time.Hour, false
-		if c.fuse == 0 {
+		run.crashesAt, run.doneAt, run.fails = s.now+c.delay, s.now+time.Hour, false
+		if c.delay == 0 {
 			c.crashes[key]++
 			c.crash(s, worker)
 		}
@@ -140,14 +140,14 @@
 // check fails the test if a task that crashes its workers was started too often or its job is not failed, or if another
 // job is not completed.
 func (c *crashSimulation) check(s *simulation, jobs []string) {
-	guilty := map[string]bool{}
+	crashing := map[string]bool{}
 	downtimes := time.Duration(maxCrashes)
-	if c.otherCrashes > 0 || c.fuse == 0 {
+	if c.otherCrashes > 0 || c.delay == 0 {
 		// A task is given up one crash later then.
 		downtimes++
 	}
 	for key, crashes := range c.crashes {
-		guilty[key.Job] = true
+		crashing[key.Job] = true
 		assert.Check(s.t, c.starts[key] <= maxCrashes+startsAfterThem, "%v was started %d times", key, c.starts[key])
 		job := s.state.Job(key.Job)
 		assert.Check(s.t, job.State == pimjob.Failed, "%v is %v after %d crashes", key, job.State, crashes)
@@ -156,7 +156,7 @@
 	}
 	innocent := 0
 	for _, id := range jobs {
-		if state := s.state.Job(id).State; !guilty[id] && state != pimjob.Completed {
+		if state := s.state.Job(id).State; !crashing[id] && state != pimjob.Completed {
 			innocent++
 			s.t.Logf("job %s is %v", id, state)
 		}
@@ -177,15 +177,15 @@
 		replaceLeader time.Duration
 	}{
 		"before the start is confirmed":   {crashSimulation{downtime: 3 * time.Second}, small, 0},
-		"at once":                         {crashSimulation{fuse: tick, downtime: 3 * time.Second}, small, 0},
-		"some time after the start":       {crashSimulation{fuse: 400 * time.Millisecond, downtime: 3 * time.Second}, small, 0},
-		"the worker is back at once":      {crashSimulation{fuse: tick, downtime: 100 * time.Millisecond}, small, 0},
-		"its lease expires before":        {crashSimulation{fuse: tick, downtime: testLease + 2*time.Second}, small, 0},
-		"leaders change":                  {crashSimulation{fuse: tick, downtime: 3 * time.Second}, small, 2 * time.Second},
-		"leaders change before it's back": {crashSimulation{fuse: tick, downtime: 3 * time.Second}, small, time.Second},
-		"a member of a gang":              {crashSimulation{fuse: tick, downtime: 3 * time.Second}, gang, 0},
+		"at once":                         {crashSimulation{delay: tick, downtime: 3 * time.Second}, small, 0},
+		"some time after the start":       {crashSimulation{delay: 400 * time.Millisecond, downtime: 3 * time.Second}, small, 0},
+		"the worker is back at once":      {crashSimulation{delay: tick, downtime: 100 * time.Millisecond}, small, 0},
+		"its lease expires before":        {crashSimulation{delay: tick, downtime: testLease + 2*time.Second}, small, 0},
+		"leaders change":                  {crashSimulation{delay: tick, downtime: 3 * time.Second}, small, 2 * time.Second},
+		"leaders change before it's back": {crashSimulation{delay: tick, downtime: 3 * time.Second}, small, time.Second},
+		"a member of a gang":              {crashSimulation{delay: tick, downtime: 3 * time.Second}, gang, 0},
 		"workers crash by themselves, too": {
-			crashSimulation{fuse: tick, downtime: 3 * time.Second, otherCrashes: 3000 * time.Millisecond}, small, 0,
+			crashSimulation{delay: tick, downtime: 3 * time.Second, otherCrashes: 3000 * time.Millisecond}, small, 0,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/job/pimjob/state_test.go
+++ b/internal/job/pimjob/state_test.go
@@ -209,14 +209,14 @@
 // TestCrashes guards against crashes under a task that are forgotten with the leader or counted although no worker crashed,
 // so that the task is started without end or its job is given up without cause.
 func TestCrashes(t *testing.T) {
-	const fuse = 20
+	const delay = 20
 	// crash starts a run on a worker and ends the worker's generation with the given operations some time later.
 	crash := func(t *testing.T, s *pimjob.State, at, generation int64, ops ...pimjob.Op) *pimjob.State {
 		task, _, _ := s.Task(key("a", 0, 0))
 		s.Apply(at, []pimjob.Op{pimjob.Start{
 			Key: key("a", 0, 0), Number: task.LastRun + 1, Worker: "w1", Generation: generation,
 		}})
-		s.Apply(at+fuse, []pimjob.Op{pimjob.MarkSilent{
+		s.Apply(at+delay, []pimjob.Op{pimjob.MarkSilent{
 			ID: "w1", Generation: generation, Confirmed: []pimjob.TaskKey{key("a", 0, 0)},
 		}})
 		s.Apply(at+3000, ops)
@@ -284,7 +284,7 @@
 		for generation := int64(1); generation <= 2; generation++ {
 			at := baseTime + generation*10_000
 			s.Apply(at, []pimjob.Op{pimjob.Start{Key: key("a", 0, 0), Number: int(generation), Worker: "w1", Generation: generation}})
-			s.Apply(at+fuse, []pimjob.Op{
+			s.Apply(at+delay, []pimjob.Op{
 				pimjob.MarkSilent{ID: "w1", Generation: generation},
 				pimjob.MarkSilent{ID: "w1", Generation: generation, Confirmed: []pimjob.TaskKey{key("a", 0, 0)}},
 				// The next leader has not heard of the run.
--- a/internal/job/pimplan/isolate_test.go
+++ b/internal/job/pimplan/isolate_test.go
@@ -72,14 +72,14 @@
 		sim.submit("busy", 0, slow(1, 20))
 		sim.run(time.Second)
 		sim.unusable = map[string]bool{"w01": true}
-		sim.submit("a-bystander", 0, slow(1, 1))
+		sim.submit("a-neighbour", 0, slow(1, 1))
 		sim.run(3 * time.Second)
 		sim.submit("suspect", 0, slow(1, 1))
 		sim.run(tickInterval)
 		sim.unusable = map[string]bool{}
 		sim.crash("w00")
 		sim.run(tickInterval)
-		assert.Equal(t, sim.hostsOf("a-bystander")[0], "w00")
+		assert.Equal(t, sim.hostsOf("a-neighbour")[0], "w00")
 		assert.Equal(t, sim.hostsOf("suspect")[0], "w01")
 	})
 	t.Run("a suspect that has not crashed its host no longer keeps others away", func(t *testing.T) {
