Mark a worker as silent only after a second time-out, unless its connection breaks

Callers would see: with a slow leader or a lossy network, an entry in the log for each worker whose renewal times out once, and another when it responds, which slow the leader down further. Cause: the mark of silence was written with the first renewal without a response. Fix: the time of the first one is kept in memory, and written with the second, at once if the connection breaks, and before a crash is judged in any case. TestSingleTimeout failed before; TestDropOfCrashedWorker fails without the last part.

--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -25,14 +25,25 @@
 		return
 	}
 	call, ok := result.Call.(RenewLease)
-	if !ok || result.Outcome != OutcomeUnknown || w.silentSince != 0 {
+	if !ok || result.Outcome != OutcomeUnknown {
 		return
 	}
-	w.silentSince = f.now
-	if w.heardAt > 0 && f.now-call.SentAt >= call.Wait+responseTimeout {
-		w.silentSince = w.heardAt
+	timedOut := f.now-call.SentAt >= call.Wait+responseTimeout
+	if w.silentSince == 0 {
+		w.silentSince = f.now
+		if w.heardAt > 0 && timedOut {
+			w.silentSince = w.heardAt
+		}
+	}
+	// One time-out may come from a slow leader, which a log entry for each worker would slow down further.
+	if !timedOut || w.failures > 0 {
+		f.markSilentOnce(w)
 	}
-	if len(w.runs) > 0 {
+}
+
+// markSilentOnce marks a worker as silent unless that is done, it responds or it has no runs.
+func (f *Fleet) markSilentOnce(w *workerState) {
+	if w.silentSince != 0 && !w.markedSilent && len(w.runs) > 0 {
 		f.markSilent(w)
 	}
 }
--- a/internal/job/pimfleet/fleet_test.go
+++ b/internal/job/pimfleet/fleet_test.go
@@ -222,3 +222,77 @@
 	s.run(10 * time.Second)
 	s.assertCompleted("a")
 }
+
+// TestSingleTimeout guards against a slow leader or a lossy network that fills the log with workers that seem silent: a
+// renewal that times out once is no news.
+func TestSingleTimeout(t *testing.T) {
+	s := newSimulation(t, 9, "w1")
+	s.run(time.Second)
+	s.submit("a", 1)
+	s.workers["w1"].neverFinishes = true
+	s.run(time.Second)
+	marks := func() (count int) {
+		_, ops, _ := s.fleet.Take()
+		for _, op := range ops {
+			if _, ok := op.(pimjob.MarkSilent); ok {
+				count++
+			}
+		}
+		return count
+	}
+	renewal := func(outcome pimfleet.Outcome, after time.Duration) {
+		s.now += after
+		result := pimfleet.Result{
+			Call:    pimfleet.RenewLease{Target: pimfleet.Target{ID: "w1", Generation: 1}, SentAt: s.now - after},
+			Outcome: outcome,
+		}
+		if outcome == pimfleet.OutcomeExecuted {
+			result.Clock, result.Generation = s.now, 1
+		}
+		s.fleet.OnResult(result, s.now)
+	}
+	renewal(pimfleet.OutcomeUnknown, 500*time.Millisecond)
+	assert.Equal(t, marks(), 0, "a time-out")
+	renewal(pimfleet.OutcomeExecuted, 10*time.Millisecond)
+	assert.Equal(t, marks(), 0, "a response after one time-out")
+	renewal(pimfleet.OutcomeUnknown, 500*time.Millisecond)
+	renewal(pimfleet.OutcomeUnknown, 500*time.Millisecond)
+	assert.Equal(t, marks(), 1, "a second time-out")
+	renewal(pimfleet.OutcomeExecuted, 10*time.Millisecond)
+	assert.Equal(t, marks(), 1, "a response after the mark")
+	renewal(pimfleet.OutcomeUnknown, 10*time.Millisecond)
+	assert.Equal(t, marks(), 1, "a renewal that breaks off")
+}
+
+// TestDropOfCrashedWorker guards against a crash that is judged without the mark of silence, because the next generation of
+// the worker was there before a second time-out, and against a run that the worker never had and that is taken for the cause.
+func TestDropOfCrashedWorker(t *testing.T) {
+	s := newSimulation(t, 10, "w1")
+	s.run(time.Second)
+	s.workers["w1"].neverFinishes = true
+	s.submit("begun", 1)
+	s.run(time.Second)
+	s.lostShare = 1
+	s.submit("unsent", 1)
+	s.place()
+	calls, _, _ := s.fleet.Take()
+	target := pimfleet.Target{ID: "w1", Generation: 1}
+	for _, call := range calls {
+		if start, ok := call.(pimfleet.StartRun); ok {
+			s.fleet.OnResult(pimfleet.Result{Call: start, Outcome: pimfleet.OutcomeNotSent}, s.now)
+		}
+	}
+	sentAt := s.now
+	s.now += 500 * time.Millisecond
+	s.fleet.OnResult(pimfleet.Result{Call: pimfleet.RenewLease{Target: target, SentAt: sentAt}}, s.now)
+	s.fleet.OnResult(pimfleet.Result{
+		Call: pimfleet.RenewLease{Target: target, SentAt: s.now}, Outcome: pimfleet.OutcomeOtherGeneration,
+	}, s.now)
+	_, ops, _ := s.fleet.Take()
+	begun := pimjob.TaskKey{Job: "begun"}
+	assert.Equal(t, len(ops), 3, "%+v", ops)
+	assert.DeepEqual(t, ops[0].(pimjob.MarkSilent).Confirmed, []pimjob.TaskKey{begun})
+	assert.Equal(t, ops[1].(pimjob.End).Key.Job, "unsent")
+	assert.Equal(t, ops[1].(pimjob.End).Kind, pimjob.EndRefused)
+	assert.Assert(t, ops[2].(pimjob.DropWorker).Crashed)
+}
--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -40,6 +40,7 @@
 	crashed := !w.leaving && !w.worker.Draining
 	if crashed {
 		f.reportLoss(w)
+		f.markSilentOnce(w)
 		f.proposeUnbegunEnds(w)
 	}
 	f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation, Crashed: crashed})
