--- a/internal/job/pimcrash/judge_test.go
+++ b/internal/job/pimcrash/judge_test.go
@@ -82,6 +82,13 @@
 			suspect.Record = verdict.Record
 		}
 	})
+	t.Run("a fifth crash under an old run proves nothing", func(t *testing.T) {
+		suspects := runsAged(delay, delay, delay)
+		suspects = append(suspects, pimcrash.Suspect{
+			Group: "job", Age: 4 * time.Second, Confirmed: true, Record: pimcrash.Record{Count: 4, Confirmed: 4, Age: time.Second},
+		})
+		assert.Assert(t, !pimcrash.Judge(suspects, false)[3].GivenUp)
+	})
 	t.Run("two tasks of a job together end it", func(t *testing.T) {
 		both := runsAged(delay, delay)
 		both[0].Group, both[1].Group = "job", "job"
--- /dev/null
+++ b/internal/job/pimfleet/leases.go
@@ -0,0 +1,98 @@
+package pimfleet
+
+import (
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+// withClockDrift returns the longest time that may pass here while a worker's clock advances by duration.
+func withClockDrift(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) / (1 - clockDrift))
+}
+
+// grantLease returns the end of a new lease on the worker's clock, or 0 while that clock is unknown,
+// and records when the lease is certain to have expired.
+func (f *Fleet) grantLease(w *workerState) time.Duration {
+	if !w.hasClock {
+		return 0
+	}
+	age := f.now - w.clockAt
+	w.leaseExpiresAt = max(w.leaseExpiresAt, w.clockAt+withClockDrift(age+f.policy.Lease)+leaseExpiryMargin)
+	w.leaseExpired = false
+	return w.clock + age + f.policy.Lease
+}
+
+// Tick makes the renewals and repeated calls that are due, and detects expired leases.
+func (f *Fleet) Tick(now time.Duration) {
+	f.now = now
+	for _, w := range f.sortedWorkers {
+		if w.dirty || w.nextTickAt <= now {
+			f.tickWorker(w)
+		}
+	}
+}
+
+func (f *Fleet) tickWorker(w *workerState) {
+	w.dirty = true
+	if !w.renewing && w.proposedCursor <= w.cursor && f.now >= w.renewAt {
+		f.renewLease(w)
+	}
+	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.needsCall() && f.now >= run.nextAt }) {
+		f.advanceRun(w, run)
+	}
+	if !w.reachable && !w.leaseExpired && f.now >= w.leaseExpiresAt {
+		w.leaseExpired = true
+		if len(w.runs) > 0 {
+			f.recordDecision("worker lease expired, its runs are lost", w.worker.ID, runID{}, "")
+			f.reportLoss(w)
+			f.ops = append(f.ops, pimjob.ExpireLease{ID: w.worker.ID, Generation: w.worker.Generation})
+		}
+	}
+}
+
+// renewLease renews the lease and asks for ended runs. A worker that did not respond to the last
+// renewal gets a request that grants no new lease: each new lease postpones the time at which the
+// lease is certain to have expired.
+func (f *Fleet) renewLease(w *workerState) {
+	w.dirty = true
+	call := RenewLease{Target: w.target(), Token: f.term, SentAt: f.now}
+	if w.reachable {
+		// Sequence numbers are per generation: an unreachable worker may have been replaced by another
+		// generation, whose ended runs this cursor must not acknowledge.
+		call.Cursor = w.cursor
+		call.Deadline = f.grantLease(w)
+		call.Wait = f.policy.Wait
+	}
+	w.renewing = true
+	f.calls = append(f.calls, call)
+}
+
+// Next returns when Tick next has work to do, at most an hour from now.
+func (f *Fleet) Next() time.Duration {
+	next := f.now + time.Hour
+	for _, w := range f.sortedWorkers {
+		if w.dirty {
+			w.dirty = false
+			w.nextTickAt = w.nextTick(f.now)
+		}
+		next = min(next, w.nextTickAt)
+	}
+	return next
+}
+
+func (w *workerState) nextTick(now time.Duration) time.Duration {
+	next := now + time.Hour
+	if !w.renewing && w.proposedCursor <= w.cursor {
+		next = min(next, w.renewAt)
+	}
+	if !w.reachable && !w.leaseExpired {
+		next = min(next, w.leaseExpiresAt)
+	}
+	for _, run := range w.runs {
+		if run.needsCall() {
+			next = min(next, run.nextAt)
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/job/pimfleet/runs.go
@@ -0,0 +1,157 @@
+package pimfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
+
+func (f *Fleet) onRunStarted(live pimjob.LiveRun) {
+	w := f.workers[live.Run.Worker]
+	if w == nil || w.worker.Generation != live.Run.Generation {
+		return
+	}
+	run := &trackedRun{live: live, state: starting, committedAt: f.now, speedPercent: 100, wantedSpeedPercent: 100}
+	w.runs[runID{live.Key, live.Run.Number}] = run
+	f.advanceRun(w, run)
+}
+
+func (f *Fleet) onRunEnded(live pimjob.LiveRun) {
+	if w := f.workers[live.Run.Worker]; w != nil {
+		w.dirty = true
+		delete(w.runs, runID{live.Key, live.Run.Number})
+	}
+}
+
+func (f *Fleet) stopRunsOfJob(job *pimjob.Job) {
+	if job.State == pimjob.Completed {
+		return
+	}
+	id := job.Submission.ID
+	for _, w := range f.sortedWorkers {
+		for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.live.Key.Job == id }) {
+			f.stopRun(w, run)
+		}
+	}
+}
+
+// sortedRuns returns the runs that match, sorted by task and run number, so that the same input
+// gives the same calls.
+func (w *workerState) sortedRuns(match func(run *trackedRun) bool) []*trackedRun {
+	var runs []*trackedRun
+	for _, run := range w.runs {
+		if match(run) {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *trackedRun) int {
+		return cmp.Or(pimjob.CompareKeys(a.live.Key, b.live.Key), cmp.Compare(a.live.Run.Number, b.live.Run.Number))
+	})
+	return runs
+}
+
+// Stop stops a run on behalf of the planner, which needs its capacity or wants to move it.
+func (f *Fleet) Stop(worker string, key pimjob.TaskKey, number int, now time.Duration) {
+	f.now = now
+	if w := f.workers[worker]; w != nil {
+		if run := w.runs[runID{key, number}]; run != nil {
+			f.stopRun(w, run)
+		}
+	}
+}
+
+func (f *Fleet) stopRun(w *workerState, run *trackedRun) {
+	if run.stopping {
+		return
+	}
+	run.stopping = true
+	run.attempts = 0
+	run.nextAt = f.now
+	f.advanceRun(w, run)
+}
+
+// Throttle sets the speed of a run, from 0 (paused) to 100 percent (full speed).
+func (f *Fleet) Throttle(worker string, key pimjob.TaskKey, number, percent int, now time.Duration) {
+	f.now = now
+	if w := f.workers[worker]; w != nil {
+		if run := w.runs[runID{key, number}]; run != nil && (run.speedUnknown || run.wantedSpeedPercent != percent) {
+			if run.speedUnknown {
+				run.speedPercent = unknownSpeed
+			}
+			run.wantedSpeedPercent = percent
+			run.progressedAt = 0
+			f.advanceRun(w, run)
+		}
+	}
+}
+
+// advanceRun makes the next call for a run if one is due.
+func (f *Fleet) advanceRun(w *workerState, run *trackedRun) {
+	w.dirty = true
+	if run.inFlight || f.now < run.nextAt || run.state == closing {
+		return
+	}
+	if run.stopping {
+		run.attempts++
+		run.inFlight = true
+		f.calls = append(f.calls, StopRun{Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number})
+		return
+	}
+	switch run.state {
+	case starting:
+		f.startRun(w, run)
+	case running:
+		if run.speedPercent != run.wantedSpeedPercent {
+			run.inFlight = true
+			f.calls = append(f.calls, ThrottleRun{
+				Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number,
+				SpeedPercent: run.wantedSpeedPercent,
+			})
+		}
+	case inherited, closing:
+	}
+}
+
+func (f *Fleet) startRun(w *workerState, run *trackedRun) {
+	task, _, job := f.state.Task(run.live.Key)
+	if task == nil || job.State.IsEnded() {
+		f.stopRun(w, run)
+		return
+	}
+	if !w.hasClock {
+		run.nextAt = f.now + retryDelay
+		return
+	}
+	if !f.hasCapacity(w) {
+		f.recordDecision("stopping a run that the worker's capacity no longer holds", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "")
+		f.stopRun(w, run)
+		return
+	}
+	run.attempts++
+	run.inFlight = true
+	f.calls = append(f.calls, StartRun{
+		Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number,
+		Spec: job.Submission.Spec, Checkpoint: task.Checkpoint, Deadline: f.grantLease(w),
+	})
+}
+
+// hasCapacity reports whether the worker's capacity, which may have shrunk, holds all its runs.
+func (f *Fleet) hasCapacity(w *workerState) bool {
+	var used pimjob.Resources
+	for id := range w.runs {
+		if _, step, _ := f.state.Task(id.key); step != nil {
+			used = used.Plus(step.Reserved())
+		}
+	}
+	return w.worker.Capacity.Fits(used)
+}
+
+// needsCall reports whether a call for the run is to be made at nextAt.
+func (run *trackedRun) needsCall() bool {
+	if run.inFlight || run.state == closing {
+		return false
+	}
+	return run.stopping || run.state == starting || (run.state == running && run.speedPercent != run.wantedSpeedPercent)
+}
