Look for suspects only in steps that have some

A candidate now knows whether it has suspects, from the pass over its tasks that makes it. The tests of pimplan pass.

--- a/internal/job/pimplan/isolate.go
+++ b/internal/job/pimplan/isolate.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
@@ -84,7 +83,7 @@
 // placeSuspects starts the suspects among the tasks of a step, one of a job at a time, on hosts without others, and removes
 // them from the candidate. Those for which there is no such host stay in it.
 func (p *Planner) placeSuspects(c candidate, step *pimjob.Step, placements []placement, plan *Plan) (candidate, []placement) {
-	if !slices.ContainsFunc(c.tasks, func(index int) bool { return p.isSuspect(c.taskKey(index)) }) {
+	if !c.hasSuspects {
 		return c, placements
 	}
 	others := make([]int, 0, len(c.tasks))
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -139,6 +139,8 @@
 		priority  int
 		urgency   urgency
 		tasks     []int
+		// hasSuspects means that some of the tasks are suspected of crashing their hosts.
+		hasSuspects bool
 		// starved means that the job has had waiting tasks but no live run for starvedAfter.
 		starved bool
 	}
@@ -368,9 +370,11 @@
 			continue
 		}
 		var tasks []int
+		hasSuspects := false
 		for i := range state.Tasks {
 			if !state.Tasks[i].Done && state.Tasks[i].Run == nil {
 				tasks = append(tasks, i)
+				hasSuspects = hasSuspects || state.Tasks[i].Crash.IsSuspect()
 			}
 		}
 		if len(tasks) == 0 || (job.Submission.Steps[s].Gang && len(tasks) < len(state.Tasks)) {
@@ -378,7 +382,7 @@
 		}
 		candidates = append(candidates, candidate{
 			job: job, key: stepKey{job.Submission.ID, occurrence, s}, tasks: tasks,
-			priority: job.Queue.Priority, deadlines: deadlinesOf(job, occurrence),
+			priority: job.Queue.Priority, deadlines: deadlinesOf(job, occurrence), hasSuspects: hasSuspects,
 		})
 	}
 	return candidates
