--- a/internal/state/pimconsensus/election.go
+++ b/internal/state/pimconsensus/election.go
@@ -10,6 +10,10 @@
 		return
 	}
 	if now >= r.electionDeadline {
+		if r.electionPending {
+			r.electionPending = false
+			r.failedElections = min(r.failedElections+1, maxElectionBackoff)
+		}
 		r.startPreVote()
 	}
 }
@@ -49,6 +53,7 @@
 }
 
 func (r *Replica) startElection(transfer bool) {
+	r.electionPending = true
 	r.resetElectionTimer()
 	r.role = Candidate
 	r.leader = ""
@@ -58,12 +63,18 @@
 	r.requestVotes(VoteRequest{Term: r.hardState.Term, Transfer: transfer})
 }
 
+// requestVotes asks the other voters for their votes. A vote of its own must be durable before it is announced; a pre-vote
+// changes nothing and doesn't wait for the disk.
 func (r *Replica) requestVotes(request VoteRequest) {
 	r.votes = map[string]bool{r.config.ID: true}
 	request.LastIndex = r.log.lastIndex()
 	request.LastTerm = r.log.lastTerm()
 	for _, id := range r.members.Voters {
-		if id != r.config.ID {
+		switch {
+		case id == r.config.ID:
+		case request.PreVote:
+			r.send(id, request)
+		default:
 			r.sendAfterSync(id, request)
 		}
 	}
@@ -105,6 +116,7 @@
 
 func (r *Replica) becomeLeader() {
 	r.role = Leader
+	r.electionPending, r.failedElections = false, 0
 	r.leader = r.config.ID
 	r.leaderSince = r.now
 	r.progress = make(map[string]*Progress)
@@ -175,6 +187,7 @@
 	canVote := r.hardState.VotedFor == "" || r.hardState.VotedFor == from
 	granted := m.Term == r.hardState.Term && r.role == Follower && canVote && upToDate
 	if granted {
+		r.electionPending = true
 		r.hardState.VotedFor = from
 		r.outputHardState()
 		r.resetElectionTimer()
--- a/internal/state/pimconsensus/replica.go
+++ b/internal/state/pimconsensus/replica.go
@@ -87,14 +87,21 @@
 		applied      uint64
 		// persisted is the index up to which the log is synced.
 		persisted uint64
+		// unsyncedSince is when an entry was appended to the synced log, or else when the last sync ended.
+		unsyncedSince time.Duration
 
 		// now is the time given in the current call.
 		now time.Duration
 		// lastContact is the time of the leader's last message, or of the start.
 		lastContact      time.Duration
 		electionDeadline time.Duration
-		nextHeartbeat    time.Duration
-		leaderSince      time.Duration
+		// electionPending is set from a vote in the current term until a leader is known or the election has failed.
+		electionPending bool
+		// failedElections is how many elections failed since a leader was known. The timeout doubles with each, so that an
+		// election succeeds whatever time the disks take to store the votes.
+		failedElections int
+		nextHeartbeat   time.Duration
+		leaderSince     time.Duration
 		// termStartIndex is the index of the first entry that this replica appended as leader of its term.
 		termStartIndex   uint64
 		votes            map[string]bool
@@ -263,6 +270,7 @@
 		return
 	}
 	r.persisted = max(r.persisted, index)
+	r.unsyncedSince = now
 	if r.role == Leader {
 		r.advanceCommit()
 	}
@@ -310,6 +318,9 @@
 
 // appendEntries adds entries to the end of the log and to the output for storage.
 func (r *Replica) appendEntries(entries []Entry) {
+	if r.persisted == r.log.lastIndex() {
+		r.unsyncedSince = r.now
+	}
 	r.log.entries = append(r.log.entries, entries...)
 	r.output.Entries = append(r.output.Entries, entries...)
 	for _, entry := range entries {
@@ -366,8 +377,9 @@
 }
 
 func (r *Replica) resetElectionTimer() {
-	jitter := time.Duration(r.random.Int64N(int64(ElectionTimeout)))
-	r.electionDeadline = r.now + ElectionTimeout + jitter
+	timeout := ElectionTimeout << r.failedElections
+	jitter := time.Duration(r.random.Int64N(int64(timeout)))
+	r.electionDeadline = r.now + timeout + jitter
 	if r.config.NonPreferredLeader {
 		r.electionDeadline += nonPreferredDelay
 	}
--- a/internal/state/pimconsensus/replication.go
+++ b/internal/state/pimconsensus/replication.go
@@ -119,6 +119,7 @@
 		r.becomeFollower(term, from)
 	}
 	r.lastContact = r.now
+	r.electionPending, r.failedElections = false, 0
 	r.resetElectionTimer()
 	return true
 }
@@ -146,9 +147,18 @@
 	r.recordEcho(m)
 	r.collectCommitted()
 	reply.Applied = r.applied
+	r.confirmContact(from, m)
 	r.sendAfterSync(from, reply)
 }
 
+// confirmContact tells the leader that its request has arrived while the reply to it waits for a slow disk. A leader that
+// does not hear from a majority for 2*ElectionTimeout steps down, and its successor would meet the same disks.
+func (r *Replica) confirmContact(leader string, m AppendRequest) {
+	if r.persisted < r.log.lastIndex() && r.now-r.unsyncedSince >= HeartbeatInterval {
+		r.send(leader, AppendReply{Term: r.hardState.Term, SentAt: m.SentAt, ContactOnly: true})
+	}
+}
+
 // mergeEntries appends the entries that are new, replacing a conflicting tail of the log.
 func (r *Replica) mergeEntries(entries []Entry) {
 	for i, entry := range entries {
@@ -206,6 +216,9 @@
 	}
 	progress.LastAck = max(progress.LastAck, m.SentAt)
 	progress.LastContact = r.now
+	if m.ContactOnly {
+		return
+	}
 	progress.Applied = m.Applied
 	if r.Ready(r.now) {
 		progress.echoBoot = m.Boot
--- a/internal/state/pimconsensus/types.go
+++ b/internal/state/pimconsensus/types.go
@@ -129,6 +129,8 @@
 		SentAt     time.Duration `msgpack:"s"`
 		Boot       uint64        `msgpack:"b"`
 		Clock      time.Duration `msgpack:"k"`
+		// ContactOnly is set in a reply that is sent before the one that follows the sync. It acknowledges no entries.
+		ContactOnly bool `msgpack:"c,omitempty"`
 	}
 
 	// SnapshotRequest carries a whole snapshot to a replica that needs entries which the
@@ -180,6 +182,9 @@
 	maxInFlightEntries = 2048
 	// MaxInFlightBytes is the size from which on no more entries are sent to a replica until it acknowledges some.
 	MaxInFlightBytes = 2 << 20
+	// maxElectionBackoff is how often the election timeout is doubled: to 4.8 s, within which disks that take a second to
+	// sync store the term and the votes of an election.
+	maxElectionBackoff = 3
 	// nonPreferredDelay is added to the election timeout of a non-preferred leader.
 	nonPreferredDelay = 4 * ElectionTimeout
 )
