--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -177,6 +177,7 @@
 		store.Close()
 		return err
 	}
+	c.heartbeats.capacityAge = c.settings.Fleet.CapacityAge
 	c.heartbeats.reset(c.state)
 	c.diskEpoch++
 	c.disk = &disk{store: store, batches: make(chan diskBatch, 1), epoch: c.diskEpoch}
--- a/internal/job/pimcontrol/heartbeats.go
+++ b/internal/job/pimcontrol/heartbeats.go
@@ -15,6 +15,10 @@
 	heartbeatFilter struct {
 		mutex   sync.Mutex
 		workers map[string]*filteredWorker
+		// services are those of the configuration in force.
+		services map[string]pimjob.Service
+		// capacityAge is pimfleet.Policy.CapacityAge.
+		capacityAge time.Duration
 	}
 
 	// filteredWorker is a worker as this replica knows it, and when its last heartbeat was passed on to the leader.
@@ -28,34 +32,39 @@
 	}
 )
 
-// heartbeatInterval is the time after which a heartbeat is passed on to the leader although it holds nothing new. With its
-// help a leader calls a worker sooner that it could not reach.
-const heartbeatInterval = 4 * time.Second
+const (
+	// heartbeatInterval is the time after which a heartbeat is passed on to the leader although it holds nothing new. With its
+	// help a leader calls a worker sooner that it could not reach.
+	heartbeatInterval = 4 * time.Second
+	// heartbeatsPerCapacityAge lets a heartbeat be lost without effect.
+	heartbeatsPerCapacityAge = 3
+)
 
 // reset replaces the known workers by those of the state.
 func (f *heartbeatFilter) reset(state *pimjob.State) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.workers = map[string]*filteredWorker{}
+	f.workers, f.services = map[string]*filteredWorker{}, state.Config().Services
 	for _, worker := range state.Workers() {
 		f.put(*worker)
 	}
 }
 
-// onChanges updates the known workers with the changes of a committed entry.
-func (f *heartbeatFilter) onChanges(changes []pimjob.Change) {
+// onChanges updates what is known with the changes of a committed entry, after which the state has these services.
+func (f *heartbeatFilter) onChanges(changes []pimjob.Change, services map[string]pimjob.Service) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	for _, change := range changes {
-		changed, ok := change.(pimjob.WorkerChanged)
-		if !ok {
-			continue
-		}
-		f.mutex.Lock()
-		if changed.Removed {
-			delete(f.workers, changed.Worker.ID)
-		} else {
-			f.put(changed.Worker)
+		switch change := change.(type) {
+		case pimjob.ConfigChanged:
+			f.services = services
+		case pimjob.WorkerChanged:
+			if change.Removed {
+				delete(f.workers, change.Worker.ID)
+			} else {
+				f.put(change.Worker)
+			}
 		}
-		f.mutex.Unlock()
 	}
 }
 
@@ -77,13 +86,22 @@
 		len(f.workers)*pimrelay.MaxConnectionsPerWorker <= budget {
 		return false
 	}
-	if known.wasPassedOn && now-known.passedOnAt < heartbeatInterval {
+	if known.wasPassedOn && now-known.passedOnAt < f.interval(heartbeat.Worker.Service) {
 		return true
 	}
 	known.wasPassedOn, known.passedOnAt = true, now
 	return false
 }
 
+// interval returns the time after which a heartbeat that holds nothing new is passed on. The leader needs those of workers
+// that accept overload before the last one is too old for a start.
+func (f *heartbeatFilter) interval(service string) time.Duration {
+	if f.services[service].RejectsOverload || f.capacityAge == 0 {
+		return heartbeatInterval
+	}
+	return min(heartbeatInterval, f.capacityAge/heartbeatsPerCapacityAge)
+}
+
 // AcknowledgesHeartbeat reports whether this daemon may acknowledge a heartbeat itself, since it holds nothing that the
 // leader has to know. It is safe for concurrent use.
 func (c *Control) AcknowledgesHeartbeat(heartbeat pimrpc.Heartbeat, now time.Duration) bool {
--- a/internal/job/pimcontrol/output.go
+++ b/internal/job/pimcontrol/output.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		changes := c.state.Apply(at, ops)
-		c.heartbeats.onChanges(changes)
+		c.heartbeats.onChanges(changes, c.state.Config().Services)
 		if c.leadership != nil {
 			c.leadership.onApplied(c, entry, changes)
 		}
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -276,6 +276,9 @@
 	if known != nil && known.Generation == worker.Generation && known.Draining == worker.Draining &&
 		known.Address == worker.Address && known.Capacity == worker.Capacity {
 		l.fleet.OnHeartbeat(worker.ID, worker.Generation, request.Clock, request.StaysFor, c.now)
+		if !late {
+			l.fleet.OnCapacity(worker.ID, worker.Generation, request.Clock, c.now)
+		}
 		respond(pimrpc.Done{})
 		return
 	}
@@ -290,6 +293,9 @@
 	l.enqueueWrite(func(response pimrpc.Response) {
 		if c.leadership != nil && c.leadership.fleet != nil {
 			c.leadership.fleet.OnHeartbeat(id, generation, clock, staysFor, c.now)
+			if !late {
+				c.leadership.fleet.OnCapacity(id, generation, clock, c.now)
+			}
 		}
 		respond(response)
 	}, pimjob.PutWorker{Worker: worker})
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -75,6 +75,8 @@
 		newGeneration int64
 		// proposedCursor is the highest EndedRun.Sequence whose end is proposed for the log.
 		proposedCursor int64
+		// capacityAt is the worker's clock in the newest heartbeat that reported worker.Capacity.
+		capacityAt time.Duration
 		// heartbeatSequence is the highest sequence number of a heartbeat.
 		heartbeatSequence int64
 		// unhealthyUntil is when the worker may get new runs again.
--- a/internal/job/pimfleet/observe.go
+++ b/internal/job/pimfleet/observe.go
@@ -21,10 +21,10 @@
 }
 
 // IsUsable reports whether a worker may get new runs: it responded to its last renewal in this term,
-// is not leaving, and neither unhealthy nor out of capacity.
+// is not leaving, neither unhealthy nor out of capacity, and its capacity is known.
 func (f *Fleet) IsUsable(id string, now time.Duration) bool {
 	w := f.workers[id]
-	return w != nil && w.reachable && w.hasClock && !w.leaving && now >= w.unhealthyUntil
+	return w != nil && w.reachable && w.hasClock && !w.leaving && now >= w.unhealthyUntil && f.isCapacityCurrent(w, now)
 }
 
 // ObservedRuns returns the runs in the last list of a worker, sorted by task and run number. A run that an earlier list
--- a/internal/job/pimfleet/runs.go
+++ b/internal/job/pimfleet/runs.go
@@ -124,8 +124,15 @@
 		run.nextAt = f.now + retryDelay
 		return
 	}
+	if !f.isCapacityCurrent(w, f.now) {
+		f.awaitCapacity(w, run)
+		return
+	}
+	run.awaitsCapacitySince = 0
 	if !f.hasCapacity(w) {
-		f.recordDecision("stopping a run that the worker's capacity no longer holds", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "")
+		f.recordDecision(
+			"stopping a run that the worker's capacity no longer holds", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "",
+		)
 		f.stopRun(w, run)
 		return
 	}
@@ -133,21 +140,10 @@
 	run.inFlight = true
 	f.calls = append(f.calls, StartRun{
 		Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number,
-		Spec: job.Submission.Spec, Checkpoint: task.Checkpoint, Deadline: f.grantLease(w),
+		Spec: job.Submission.Spec, Checkpoint: task.Checkpoint, Deadline: f.startDeadline(w),
 	})
 }
 
-// hasCapacity reports whether the worker's capacity, which may have shrunk, holds all its runs.
-func (f *Fleet) hasCapacity(w *workerState) bool {
-	var used pimjob.Resources
-	for id := range w.runs {
-		if _, step, _ := f.state.Task(id.key); step != nil {
-			used = used.Plus(step.Reserved())
-		}
-	}
-	return w.worker.Capacity.Fits(used)
-}
-
 // needsCall reports whether a call for the run is to be made at nextAt.
 func (run *trackedRun) needsCall() bool {
 	if run.inFlight || run.state == closing {
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -24,6 +24,9 @@
 		// Wait is the long-poll limit of a renewal: how long the worker may delay its response
 		// until a run ends.
 		Wait time.Duration
+		// CapacityAge is for how long after a heartbeat its capacity may decide a start on a worker that accepts overload.
+		// 0 means no limit.
+		CapacityAge time.Duration
 	}
 
 	// Outcome is the result of a call as far as the leader knows it.
@@ -151,6 +154,8 @@
 		closingSince time.Duration
 		// committedAt is when the run was committed, or 0 for a run of an earlier leader.
 		committedAt time.Duration
+		// awaitsCapacitySince is since when the start waits for a report of the worker's capacity, or 0.
+		awaitsCapacitySince time.Duration
 		// confirmedAt is when the worker last confirmed that the run is running.
 		confirmedAt time.Duration
 		stopping    bool
--- a/internal/job/pimjob/types.go
+++ b/internal/job/pimjob/types.go
@@ -94,10 +94,10 @@
 	// Service is a pool of workers.
 	Service struct {
 		Name string `msgpack:"n"`
-		// RejectsOverload means that its workers refuse runs that exceed their capacity. It and
-		// Standby are stored but not used for planning.
+		// RejectsOverload means that its workers refuse runs that exceed their capacity.
 		RejectsOverload bool `msgpack:"g,omitempty"`
-		Standby         bool `msgpack:"sb,omitempty"`
+		// Standby is stored but not used for planning.
+		Standby bool `msgpack:"sb,omitempty"`
 	}
 
 	// Config is one version of the operators' configuration. Text is the original document, which
