--- a/internal/entry/pimcommand/main.go
+++ b/internal/entry/pimcommand/main.go
@@ -56,6 +56,8 @@
 		newStatusCommand(),
 		newMetricsCommand(),
 		newErrorsCommand(),
+		newExperimentCommand(),
+		newMechanismsCommand(),
 		newStandinCommand(),
 		newVersionCommand(),
 	}
--- a/internal/job/pimplan/delay.go
+++ b/internal/job/pimplan/delay.go
@@ -16,8 +16,8 @@
 		// RemoteFactor is how many times as long a task takes on a host that is not near its data or its group. With 1 or
 		// less, no task waits.
 		RemoteFactor float64
-		// StartAtOnce makes tasks start on other hosts at once, for comparisons with and without waiting.
-		StartAtOnce bool
+		// Without lists the mechanisms that are switched off, for comparisons.
+		Without []Mechanism
 	}
 
 	// waits decides which tasks wait for a preferred host.
@@ -80,10 +80,18 @@
 }
 
 // Configure sets the planner's settings.
-func (p *Planner) Configure(settings Settings) { p.waits.settings = settings }
+func (p *Planner) Configure(settings Settings) {
+	p.waits.settings = settings
+	p.without = map[Mechanism]bool{}
+	for _, mechanism := range settings.Without {
+		p.without[mechanism] = true
+	}
+}
 
 // enabled reports whether any task may wait.
-func (w *waits) enabled() bool { return w.settings.RemoteFactor > 1 && !w.settings.StartAtOnce }
+func (w *waits) enabled() bool {
+	return w.settings.RemoteFactor > 1 && !slices.Contains(w.settings.Without, DelayScheduling)
+}
 
 // begin prepares the decisions of a plan: it updates what is in demand and counts the waiting tasks.
 func (w *waits) begin(p *Planner, candidates []candidate, now time.Duration, wallClock int64) {
--- a/internal/job/pimplan/delay_test.go
+++ b/internal/job/pimplan/delay_test.go
@@ -33,9 +33,9 @@
 
 func newDelayRun(t *testing.T, factor float64, startAtOnce bool) *delayRun {
 	t.Helper()
-	run := &delayRun{
-		simulation: newSimulationWithRacks(t, 192, 16),
-		settings:   pimplan.Settings{RemoteFactor: factor, StartAtOnce: startAtOnce},
+	run := &delayRun{simulation: newSimulationWithRacks(t, 192, 16), settings: pimplan.Settings{RemoteFactor: factor}}
+	if startAtOnce {
+		run.settings.Without = []pimplan.Mechanism{pimplan.DelayScheduling}
 	}
 	run.remoteFactor = factor
 	run.durationFactor = spread
--- a/internal/job/pimplan/health.go
+++ b/internal/job/pimplan/health.go
@@ -31,7 +31,7 @@
 func (p *Planner) selectHealthyHosts(now time.Duration) {
 	p.health.Tick(now)
 	var selected map[string]pimhealth.Status
-	if p.health.HasSuspects() {
+	if p.uses(HostHealth) && p.health.HasSuspects() {
 		sizes := map[string]int{}
 		for _, h := range p.index.sorted {
 			if h.schedulable {
--- a/internal/job/pimplan/hosts.go
+++ b/internal/job/pimplan/hosts.go
@@ -28,7 +28,9 @@
 		// A reserved host gets no further runs from the current plan, see reserve.
 		reserved   bool
 		throttling throttleState
-		progress   progressState
+		// opportunityCost is the share of the scarce best-effort demand that could use the host, see compatibility.
+		opportunityCost float64
+		progress        progressState
 		// pool and rack are nil until they are built, position is that in the pool, unavailableAt that in
 		// hostIndex.unavailable, or -1, and checkedIn the number of the plan that checked the host last.
 		pool                    *hostPool
--- a/internal/job/pimplan/leaving.go
+++ b/internal/job/pimplan/leaving.go
@@ -91,7 +91,7 @@
 // moveFromLeavingHosts stops runs that can't end before their host leaves, so that they start elsewhere. Runs whose work
 // a stop saves come first, then those that have run for the shortest time.
 func (p *Planner) moveFromLeavingHosts(now time.Duration, plan *Plan) {
-	if now < p.leaving.nextAt {
+	if now < p.leaving.nextAt || !p.uses(LeavingHostMoves) {
 		return
 	}
 	p.leaving.nextAt = now + leavingInterval
--- a/internal/job/pimplan/pace.go
+++ b/internal/job/pimplan/pace.go
@@ -79,7 +79,7 @@
 
 // estimatesAreWrong reports whether the estimates of a job's queue are off by more than usualError.
 func (p *Planner) estimatesAreWrong(job *pimjob.Job) bool {
-	return p.durations.Error(job.Queue.Name) > usualError
+	return p.uses(LearnedDurations) && p.durations.Error(job.Queue.Name) > usualError
 }
 
 // medianDuration returns the learned duration of a step's tasks at full speed.
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -65,10 +65,13 @@
 		topology *topology
 		waits    waits
 		// shares is how scarce capacity is divided between organisations.
-		shares    shareState
-		leaving   leavingState
-		health    *pimhealth.Model
-		isolation isolation
+		shares        shareState
+		leaving       leavingState
+		health        *pimhealth.Model
+		isolation     isolation
+		compatibility compatibility
+		// without holds the mechanisms that are switched off.
+		without map[Mechanism]bool
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -281,6 +284,7 @@
 	var placements []placement
 	unplaced := unplaceable{}
 	candidates := p.candidates(now, wallClock, &plan)
+	p.refreshCompatibility(candidates, now)
 	p.waits.begin(p, candidates, now, wallClock)
 	if len(p.state.Config().Organisations) > 0 {
 		placements = p.placeForOrganisations(candidates, unplaced, now, &plan)
--- a/internal/job/pimplan/queue.go
+++ b/internal/job/pimplan/queue.go
@@ -102,7 +102,10 @@
 		if len(p.pausedUntil) > 0 && now < p.pausedUntil[c.key.job] {
 			continue
 		}
-		urgent := c.deadlines.urgencyAt(wallClock)
+		urgent := canBeOnTime
+		if p.uses(UrgencyOrder) {
+			urgent = c.deadlines.urgencyAt(wallClock)
+		}
 		q.byUrgency[urgent] = append(q.byUrgency[urgent], *c)
 		added := &q.byUrgency[urgent][len(q.byUrgency[urgent])-1]
 		added.urgency = urgent
--- a/internal/job/pimplan/score.go
+++ b/internal/job/pimplan/score.go
@@ -1,6 +1,10 @@
 package pimplan
 
-import "github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+import (
+	"math"
+
+	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
+)
 
 const (
 	// assumedServingLoad is the share of its requested processor time that a serving task is assumed
@@ -55,13 +59,18 @@
 			return 0, false
 		}
 		headroom, taken := h.throttling.headroomWith(p.interference, step)
+		if !p.uses(HeadroomPlacement) {
+			headroom, taken = math.Inf(1), 0
+		}
 		if !c.starved && headroom < minPlacementHeadroom {
 			return 0, false
 		}
-		score += (idle-requested)/capacity - interferencePenalty*taken
+		score += (idle-requested)/capacity - interferencePenalty*taken - opportunityWeight*h.opportunityCost
 	case step.TargetLatency > 0:
-		score += sameImageBonus*float64(h.servingImages[step.Image]) -
-			otherImagePenalty*float64(h.countOtherImages(step.Image))
+		if p.uses(ImageGrouping) {
+			score += sameImageBonus*float64(h.servingImages[step.Image]) -
+				otherImagePenalty*float64(h.countOtherImages(step.Image))
+		}
 		score -= float64(h.bestEffortMillicores) / capacity
 	default:
 		score += float64(h.free.Millicores) / capacity
--- a/internal/job/pimplan/throttle.go
+++ b/internal/job/pimplan/throttle.go
@@ -53,10 +53,14 @@
 		}
 		observed := p.workers.ObservedRuns(id)
 		p.observePace(h, observed)
-		p.checkProgress(now, h, observed, plan)
-		p.migrateSlowRuns(now, h, observed, plan)
+		if p.uses(ProgressChecks) {
+			p.checkProgress(now, h, observed, plan)
+		}
+		if p.uses(SlowRunMoves) {
+			p.migrateSlowRuns(now, h, observed, plan)
+		}
 		runs := h.throttling.observe(p.state, p.interference, observed, now)
-		if now >= h.throttling.throttledAt+throttleSettleTime {
+		if p.uses(Throttling) && now >= h.throttling.throttledAt+throttleSettleTime {
 			p.throttleHost(now, h, runs, plan)
 		}
 	}
