--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,12 @@
 # matrix         run the test of every fault at every step and regenerate docs/FAULTS.md
 # soak           run processes under random faults: SEEDS=10-20 TIME=30s
 # fuzz           fuzz each decoder for FUZZ_TIME
+# experiment     play the loads of the model in virtual time: SEEDS_OF_LOAD=20 WITHOUT=mechanism
 # regression     play the light days of the deployments in force: BENCH=program PAGES=folder
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix soak fuzz regression
+.PHONY: build test race check fmt bench docs demo crash-check bench-process matrix soak fuzz regression experiment
 
 build:
 	$(GO) build -o bin/pimentoswitch ./cmd/pimentoswitch
@@ -69,3 +70,9 @@
 
 regression:
 	sh test/regression.sh $(BENCH) $(PAGES)
+
+SEEDS_OF_LOAD ?= 4
+experiment: build
+	@for load in internal/measure/pimexperiment/loads/*.yaml; do \
+		bin/pimentoswitch experiment $$load --seeds $(SEEDS_OF_LOAD) --without '$(WITHOUT)' || exit 1; \
+	done
