--- a/internal/job/pimplan/deadlines.go
+++ b/internal/job/pimplan/deadlines.go
@@ -20,15 +20,13 @@
 	}
 
 	// urgency orders jobs of equal priority while capacity is short: first those that can still be
-	// on time, then those that can still earn partial credit, then long-running ones, then the rest. A task that ends
-	// soon leaves its host to the next one, while a long-running task takes it for good.
+	// on time, then those that can still earn partial credit, then the rest.
 	urgency int
 )
 
 const (
 	canBeOnTime urgency = iota
 	canBeLate
-	longRunning
 	tooLate
 )
 
@@ -106,7 +104,7 @@
 func (d deadlines) urgencyAt(wallClock int64) urgency {
 	switch end := wallClock + d.remaining; {
 	case d.longRunning:
-		return longRunning
+		return canBeOnTime
 	case end <= d.due:
 		return canBeOnTime
 	case end <= d.latest:
--- a/internal/job/pimplan/mechanisms.go
+++ b/internal/job/pimplan/mechanisms.go
@@ -21,7 +21,6 @@
 // The mechanisms that can be switched off.
 const (
 	UrgencyOrder      Mechanism = "urgency-order"
-	ShortTasksFirst   Mechanism = "short-tasks-first"
 	ImageGrouping     Mechanism = "image-grouping"
 	CompatibleHosts   Mechanism = "compatible-hosts"
 	HeadroomPlacement Mechanism = "headroom-placement"
@@ -37,7 +36,6 @@
 // Mechanisms lists all mechanisms.
 var Mechanisms = []MechanismHelp{
 	{UrgencyOrder, "jobs that can still end in time come before those that can't"},
-	{ShortTasksFirst, "tasks that end come before long-running tasks of the same priority whose job has a run already"},
 	{ImageGrouping, "serving tasks of one image share hosts"},
 	{CompatibleHosts, "best-effort tasks leave hosts that few images can use to those images"},
 	{HeadroomPlacement, "best-effort tasks start only beside serving tasks that can spare the headroom"},
--- a/internal/job/pimplan/plancost_test.go
+++ b/internal/job/pimplan/plancost_test.go
@@ -177,8 +177,8 @@
 		{600, 3, pimplan.Settings{}, "ee4c0c2cfb4b009c"},
 	} {
 		t.Run(fmt.Sprintf("%d workers, %d organisations", test.workers, test.organisations), func(t *testing.T) {
-			// That planner did not have these mechanisms.
-			test.settings.Without = []pimplan.Mechanism{pimplan.CompatibleHosts, pimplan.ShortTasksFirst}
+			// That planner did not rank hosts by what other images could use them.
+			test.settings.Without = []pimplan.Mechanism{pimplan.CompatibleHosts}
 			load := newMixedLoad(t, test.workers, test.organisations, test.settings)
 			hash := sha256.New()
 			starts := 0
--- a/internal/job/pimplan/queue.go
+++ b/internal/job/pimplan/queue.go
@@ -102,15 +102,14 @@
 		if len(p.pausedUntil) > 0 && now < p.pausedUntil[c.key.job] {
 			continue
 		}
-		starved := entry.waiting.idleSince != 0 && now-entry.waiting.idleSince >= starvedAfter
-		urgent := c.deadlines.urgencyAt(wallClock)
-		if !p.uses(UrgencyOrder) || (urgent == longRunning && (starved || !p.uses(ShortTasksFirst))) {
-			urgent = canBeOnTime
+		urgent := canBeOnTime
+		if p.uses(UrgencyOrder) {
+			urgent = c.deadlines.urgencyAt(wallClock)
 		}
 		q.byUrgency[urgent] = append(q.byUrgency[urgent], *c)
 		added := &q.byUrgency[urgent][len(q.byUrgency[urgent])-1]
 		added.urgency = urgent
-		added.starved = starved
+		added.starved = entry.waiting.idleSince != 0 && now-entry.waiting.idleSince >= starvedAfter
 	}
 	q.orderByUrgency()
 	return q.ordered
