--- a/internal/measure/pimexperiment/host.go
+++ b/internal/measure/pimexperiment/host.go
@@ -15,7 +15,7 @@
 	// modelHost executes the calls of a fleet in virtual time.
 	modelHost struct {
 		worker pimjob.Worker
-		// load is when the users of its serving tasks are most, as a phase.
+		// phase is that of the load of its serving tasks.
 		phase    float64
 		runs     map[pimjob.TaskKey]*modelRun
 		ended    []pimfleet.EndedRun
