--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -22,6 +22,8 @@
 	gangTimeout   = 3 * time.Second
 	checkpointing = time.Second
 	restore       = 250 * time.Millisecond
+	// finish is how long after the end of the traffic jobs are asked for.
+	finish = 14 * time.Second
 	// maxFinished is how many ends an executor lists at a time.
 	maxFinished = 500
 )
@@ -216,6 +218,10 @@
 func (e *executor) crash(down time.Duration) {
 	w := e.world
 	w.mutex.Lock()
+	if e.life.ended {
+		w.mutex.Unlock()
+		return
+	}
 	w.noteLocked("executor %s crashes", e.id)
 	e.endLife("lost in a crash")
 	w.mutex.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 	"late-leave":      playLateLeave,
 	"gang-checkpoint": playGangCheckpoint,
 	"late-withdrawal": playLateWithdrawal,
-	"innocent-tasks":  playInnocentTasks,
+	"large-job":       playLargeJob,
 }
 
 func main() {
