--- a/review/standin/daemons.go
+++ b/review/standin/daemons.go
@@ -138,13 +138,6 @@
 	_ = d.command.Process.Signal(s)
 }
 
-// freeze stops the process for a time.
-func (d *daemon) freeze(pause time.Duration) {
-	d.signal(syscall.SIGSTOP)
-	time.Sleep(pause)
-	d.signal(syscall.SIGCONT)
-}
-
 // end ends the process, stopped or not.
 func (d *daemon) end() {
 	if d.command == nil || d.command.Process == nil {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -94,13 +94,7 @@
 	fmt.Fprintf(w.record, "%9.3f  %s\n", w.now().Seconds(), fmt.Sprintf(format, args...))
 }
 
-// broken records that the rule was broken.
-func (w *world) broken(format string, args ...any) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.brokenLocked(format, args...)
-}
-
+// brokenLocked records that the rule was broken.
 func (w *world) brokenLocked(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	w.breaks = append(w.breaks, text)
