--- a/review/standin/plays.go
+++ b/review/standin/plays.go
@@ -231,7 +231,8 @@
 	return nil
 }
 
-// playLargeJob hands in one large job beside small ones, and asks for all of them at the end.
+// playLargeJob hands in a large job beside small ones, and asks for all of them at the end. Without the disruption the same
+// work comes as many jobs, one after the other.
 func playLargeJob(w *world) error {
 	if err := w.startSystem(3); err != nil {
 		return err
@@ -245,11 +246,21 @@
 	jobs := w.traffic(func(int) (spec, string) { return s, step(6, s, "") }, 500*time.Millisecond, began+15*time.Second)
 	w.until(began + 4*time.Second)
 	tiny := spec{work: 3 * time.Second, spread: 2 * time.Second, cpu: 5, mem: 20}
-	large := &job{id: "5c0e7a21d94bffff", spec: specText(tiny), steps: step(19900, tiny, "")}
-	if w.trouble && !w.submit(large) {
-		return errors.New("the large job was not accepted")
+	const tasks, parts = 19900, 80
+	handedIn := 1
+	if !w.trouble {
+		handedIn = parts
 	}
-	accepted := append(<-jobs, large)
+	var large []*job
+	for i := range handedIn {
+		j := &job{id: jobID(0xf000 + i), spec: specText(tiny), steps: step(tasks/handedIn, tiny, "")}
+		if !w.submit(j) {
+			return errors.New("a job was not accepted")
+		}
+		large = append(large, j)
+		time.Sleep(100 * time.Millisecond)
+	}
+	accepted := append(<-jobs, large...)
 	ended := w.now()
 	w.note("the traffic has ended")
 	w.until(ended + finish)
