Bound the turns of the leader under a large job

Cause: the goroutine that sends the group's heartbeats did work that grows with the square of the runs on a worker. For each start it added up what all runs of the worker need, for each result it searched all of them for the next call, for each stop all stops of the plan; each member of a gang looked at all members, and each answer of a silent worker wrote all its tasks to the log. A leader is replaced after 0.6 s, and its successor inherits the runs.

Change: sums and heaps that are kept up to date; at most 2,048 unanswered starts, 4,096 commands on their way and 4,096 operations in an entry; a leader whose turns take too long plans fewer starts; heartbeats go out between the steps of a turn and during a plan; metric and log line for long turns.

--- a/internal/job/pimcontrol/control.go
+++ b/internal/job/pimcontrol/control.go
@@ -106,6 +106,8 @@
 		// steppingDown is set once StepDown was called.
 		steppingDown   bool
 		nextHandoverAt time.Duration
+		turn           turn
+		turns          turnStatistics
 	}
 )
 
--- a/internal/job/pimcontrol/leadership.go
+++ b/internal/job/pimcontrol/leadership.go
@@ -39,6 +39,8 @@
 		// nextLearnedAt is when what the planner has learned is next proposed.
 		nextLearnedAt time.Duration
 		waitLines     waitLines
+		// startLimit is how many starts may have no answer before no more are planned.
+		startLimit int
 		// nextFairnessAt is when the fairness index is next computed.
 		nextFairnessAt time.Duration
 
@@ -75,6 +77,8 @@
 	// maxProposed is how many entries may be uncommitted at a time: a second one may be proposed while
 	// the first one is synced to disk.
 	maxProposed = 2
+	// maxOpsPerEntry limits the operations in an entry, which a replica applies at once.
+	maxOpsPerEntry = 4096
 	// planInterval is the minimum time between plans, so that a burst of new jobs and ended runs is
 	// planned at once.
 	planInterval = 8 * time.Millisecond
@@ -101,6 +105,7 @@
 	if isLeader && c.leadership == nil {
 		c.leadership = &leadership{
 			term: c.replica.Term(), proposed: map[uint64]proposal{}, submitting: map[string]*submission{},
+			startLimit: maxUnansweredStarts,
 		}
 		c.logger.Info().Uint64("term", c.leadership.term).Msg("elected leader of the job group")
 	}
@@ -149,8 +154,11 @@
 		}
 		l.ready = true
 		l.fleet = pimfleet.NewFleet(c.settings.Fleet, l.term, c.state, c.now)
+		c.endStep("new fleet")
 		l.planner = pimplan.NewPlanner(c.state, l.fleet)
 		l.planner.Configure(c.settings.Plan)
+		l.planner.OnProgress(func() { c.send(c.replica.KeepAlive(pimclock.Now())) })
+		c.endStep("new planner")
 		l.relays = pimrelay.NewRelays(pimrelay.Daemon{ID: c.id, Domain: c.settings.Domain}, c.now)
 		l.nextLearnedAt = c.now + learnedInterval
 		l.dirty = true
@@ -162,7 +170,9 @@
 	c.tickRelays()
 	l.fleet.Tick(c.now)
 	c.applyFleetOutput(ctx)
+	c.endStep("fleet")
 	c.plan(ctx)
+	c.endStep("plan")
 	c.saveLearned()
 	c.reportFairness()
 	c.organisations.update(c.state, func(worker string) bool { return l.fleet.IsUsable(worker, c.now) }, c.now)
@@ -218,8 +228,9 @@
 	if l.planPending || c.now < due {
 		return
 	}
-	l.dirty = false
+	l.limitStarts()
 	plan := l.planner.Plan(c.now, time.Now().UnixMilli())
+	l.dirty = plan.Limited
 	now := pimclock.Now()
 	l.nextPlanAt = now + max(planInterval, planIdleRatio*(now-c.now))
 	c.now = now
@@ -258,18 +269,23 @@
 	l.pending.ops = append(l.pending.ops, pimjob.SaveLearned{Learned: l.planner.Learned()})
 }
 
-// propose proposes the pending operations as one log entry. If the replica doesn't accept it, they
-// stay pending.
+// propose proposes the pending operations as one log entry, or the first of them if they are too many for one. If the
+// replica doesn't accept it, they stay pending.
 func (c *Control) propose() {
 	l := c.leadership
 	if len(l.pending.ops) == 0 || len(l.proposed) >= maxProposed {
 		return
 	}
-	batch := l.pending
+	batch, rest := l.pending, proposal{}
+	if cut := entryLength(batch.ops); cut < len(batch.ops) {
+		// What waits for the commit waits for the last part.
+		batch, rest = proposal{ops: batch.ops[:cut]}, batch
+		rest.ops = rest.ops[cut:]
+	}
 	data, err := pimjob.EncodeBatch(time.Now().UnixMilli(), batch.ops)
 	if err != nil {
 		c.logger.Error().Err(err).Msg("log entry cannot be encoded")
-		l.pending = proposal{}
+		l.pending = rest
 		batch.respond(pimrpc.OutcomeUnknown{})
 		return
 	}
@@ -277,10 +293,24 @@
 	if err != nil {
 		return
 	}
-	l.pending = proposal{}
+	l.pending = rest
 	l.proposed[index] = batch
 }
 
+// entryLength returns how many of the operations go into the next entry. Starts of one step stay together, since they may
+// be those of a gang.
+func entryLength(ops []pimjob.Op) int {
+	for cut := maxOpsPerEntry; cut < len(ops); cut++ {
+		before, isStart := ops[cut-1].(pimjob.Start)
+		after, ok := ops[cut].(pimjob.Start)
+		if !isStart || !ok || before.Key.Job != after.Key.Job || before.Key.Occurrence != after.Key.Occurrence ||
+			before.Key.Step != after.Key.Step {
+			return cut
+		}
+	}
+	return len(ops)
+}
+
 // onApplied handles a committed entry that was applied to the state, and responds to the requests
 // that waited for it.
 func (l *leadership) onApplied(c *Control, entry pimconsensus.Entry, changes []pimjob.Change) {
--- a/internal/job/pimcontrol/loop.go
+++ b/internal/job/pimcontrol/loop.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimroutine"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
@@ -56,12 +55,12 @@
 		case first = <-c.events:
 		case <-timer.C:
 		}
-		c.now = pimclock.Now()
+		c.beginTurn()
 		if err := c.handleEvents(first); err != nil {
 			return err
 		}
 		c.tick(ctx)
-		c.now = pimclock.Now()
+		c.endTurn()
 		timer.Reset(max(minSleep, c.nextTick()-c.now))
 	}
 }
@@ -78,6 +77,9 @@
 		return err
 	}
 	for range maxEventsPerTick {
+		if c.isTurnLong() {
+			return nil
+		}
 		select {
 		case next := <-c.events:
 			if err := c.handleEvent(next); err != nil {
@@ -91,6 +93,10 @@
 }
 
 func (c *Control) handleEvent(e event) error {
+	defer func() {
+		c.turn.events++
+		c.endStep(e)
+	}()
 	switch e := e.(type) {
 	case peerEvent:
 		c.onPeer(e)
@@ -143,10 +149,12 @@
 	c.relaying.advanceTerm(c.replica.Term())
 	c.requestToJoin()
 	c.flush()
+	c.endStep("apply")
 	c.updateLeadership()
 	if c.leadership != nil {
 		c.tickLeadership(ctx)
 		c.flush()
+		c.endStep("propose")
 	}
 	c.isLeader.Store(c.leadership != nil && c.leadership.ready)
 	c.handOver()
--- a/internal/job/pimfleet/capacity.go
+++ b/internal/job/pimfleet/capacity.go
@@ -1,10 +1,6 @@
 package pimfleet
 
-import (
-	"time"
-
-	"github.com/pimentoswitch/pimentoswitch/internal/job/pimjob"
-)
+import "time"
 
 // OnCapacity records that the state holds the capacity of a heartbeat that was sent at clock, on the worker's clock.
 func (f *Fleet) OnCapacity(id string, generation int64, clock, now time.Duration) {
@@ -56,12 +52,4 @@
 }
 
 // hasCapacity reports whether the worker's capacity, which may have shrunk, holds all its runs.
-func (f *Fleet) hasCapacity(w *workerState) bool {
-	var used pimjob.Resources
-	for id := range w.runs {
-		if _, step, _ := f.state.Task(id.key); step != nil {
-			used = used.Plus(step.Reserved())
-		}
-	}
-	return w.worker.Capacity.Fits(used)
-}
+func (w *workerState) hasCapacity() bool { return w.worker.Capacity.Fits(w.reserved) }
--- a/internal/job/pimfleet/crashes.go
+++ b/internal/job/pimfleet/crashes.go
@@ -43,20 +43,23 @@
 
 // markSilentOnce marks a worker as silent unless that is done, it responds or it has no runs.
 func (f *Fleet) markSilentOnce(w *workerState) {
-	if w.silentSince != 0 && !w.markedSilent && len(w.runs) > 0 {
-		f.markSilent(w)
+	if w.silentSince == 0 || w.markedSilent || len(w.runs) == 0 {
+		return
+	}
+	var confirmed []pimjob.TaskKey
+	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt > 0 }) {
+		confirmed = append(confirmed, run.live.Key)
 	}
+	f.markSilent(w, confirmed...)
 }
 
-// markSilent proposes to record that the worker does not respond, and which of its runs it has begun. It is called again when
-// a response that was on its way confirms another one.
-func (f *Fleet) markSilent(w *workerState) {
+// markSilent proposes to record that the worker does not respond, and tasks that it has begun to run. It is called again
+// when a response that was on its way confirms another one.
+func (f *Fleet) markSilent(w *workerState, confirmed ...pimjob.TaskKey) {
 	w.markedSilent = true
-	mark := pimjob.MarkSilent{ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince}
-	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.confirmedAt > 0 }) {
-		mark.Confirmed = append(mark.Confirmed, run.live.Key)
-	}
-	f.ops = append(f.ops, mark)
+	f.ops = append(f.ops, pimjob.MarkSilent{
+		ID: w.worker.ID, Generation: w.worker.Generation, SilentFor: f.now - w.silentSince, Confirmed: confirmed,
+	})
 }
 
 // endSilence records that the worker responds.
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -27,6 +27,9 @@
 		decisions []Decision
 		// updated holds the IDs of the workers whose run lists arrived since TakeUpdatedWorkers.
 		updated map[string]bool
+		// commandsInFlight counts the calls without a result, renewals not included. unanswered counts the runs whose
+		// first start command has no result yet.
+		commandsInFlight, unanswered int
 	}
 
 	// Decision is an entry for the daemon's own log. Key is empty where it concerns a whole worker.
@@ -42,6 +45,11 @@
 	workerState struct {
 		worker pimjob.Worker
 		runs   map[runID]*trackedRun
+		// reserved is the sum over runs. due holds the runs that need a call.
+		reserved pimjob.Resources
+		due      runQueue
+		// strayStops are the stops in flight of runs that the log does not hold.
+		strayStops map[runID]bool
 
 		// clock is the worker's clock as last reported; the report arrived at clockAt.
 		clock    time.Duration
@@ -108,6 +116,12 @@
 	responseTimeout = 450 * time.Millisecond
 	// unhealthyBackoff is how long a worker that is unhealthy or out of capacity gets no new runs.
 	unhealthyBackoff = time.Second
+	// maxStartsInFlight limits the start commands without a result. Others are delayed: more than can be sent within the
+	// validity of a command would be dropped and made again. Stops may use maxCommandsInFlight.
+	maxStartsInFlight   = 2048
+	maxCommandsInFlight = 2 * maxStartsInFlight
+	// maxStrayStops limits the stops in flight of runs that a worker lists and the log does not hold.
+	maxStrayStops = 256
 )
 
 // unknownSpeed differs from all speeds that can be requested.
@@ -128,16 +142,16 @@
 
 func (f *Fleet) addWorker(worker pimjob.Worker) {
 	w := &workerState{
-		dirty: true, worker: worker, runs: map[runID]*trackedRun{},
+		dirty: true, worker: worker, runs: map[runID]*trackedRun{}, strayStops: map[runID]bool{},
 		leaseExpiresAt: f.now + withClockDrift(f.policy.Lease) + leaseExpiryMargin,
 	}
 	for key, live := range f.state.RunsOn(worker.ID) {
 		if live.Run.Generation == worker.Generation {
 			_, step, _ := f.state.Task(key)
-			w.runs[runID{key, live.Run.Number}] = &trackedRun{
+			w.addRun(&trackedRun{
 				live: live, state: inherited, mayHaveBegun: true, speedPercent: 100, wantedSpeedPercent: 100,
-				speedUnknown: step != nil && step.BestEffort,
-			}
+				speedUnknown: step != nil && step.BestEffort, answered: true,
+			}, step)
 		}
 	}
 	f.removeWorker(worker.ID)
@@ -147,6 +161,11 @@
 }
 
 func (f *Fleet) removeWorker(id string) {
+	if w := f.workers[id]; w != nil {
+		for _, run := range w.runs {
+			f.onAnswered(run)
+		}
+	}
 	delete(f.workers, id)
 	delete(f.unacknowledged, id)
 	if at, found := f.findSorted(id); found {
--- a/internal/job/pimfleet/leases.go
+++ b/internal/job/pimfleet/leases.go
@@ -38,7 +38,7 @@
 	if !w.renewing && w.proposedCursor <= w.cursor && f.now >= w.renewAt {
 		f.renewLease(w)
 	}
-	for _, run := range w.sortedRuns(func(run *trackedRun) bool { return run.needsCall() && f.now >= run.nextAt }) {
+	for _, run := range w.takeDue(f.now) {
 		f.advanceRun(w, run)
 	}
 	if !w.reachable && !w.leaseExpired && f.now >= w.leaseExpiresAt {
@@ -89,10 +89,8 @@
 	if !w.reachable && !w.leaseExpired {
 		next = min(next, w.leaseExpiresAt)
 	}
-	for _, run := range w.runs {
-		if run.needsCall() {
-			next = min(next, run.nextAt)
-		}
+	if len(w.due) > 0 {
+		next = min(next, w.due[0].nextAt)
 	}
 	return next
 }
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -12,40 +12,67 @@
 func (f *Fleet) OnResult(result Result, now time.Duration) {
 	f.now = now
 	target := TargetOf(result.Call)
+	renewal, isRenewal := result.Call.(RenewLease)
+	if !isRenewal {
+		f.commandsInFlight--
+	}
 	w := f.workers[target.ID]
 	if w == nil || w.worker.Generation != target.Generation {
 		return
 	}
 	w.dirty = true
 	f.observeContact(w, result)
-	if result.Outcome == OutcomeOtherGeneration {
+	switch {
+	case result.Outcome == OutcomeOtherGeneration:
 		f.recordDecision("another generation of the worker rejected the call", w.worker.ID, runID{}, "")
 		w.renewing = false
 		w.reachable = false
-		if call, ok := result.Call.(StartRun); ok {
-			if run := w.runs[runID{call.Key, call.Number}]; run != nil {
-				run.inFlight = false
-			}
+		if run := w.runs[runOf(result.Call)]; run != nil {
+			run.inFlight = false
+			w.updateDue(run)
 		}
 		f.proposeDrop(w)
+	case isRenewal:
+		f.onRenewalResult(w, renewal, result)
+	default:
+		f.onCommandResult(w, result)
+	}
+}
+
+// runOf returns the run that a call is for, which is empty for a RenewLease.
+func runOf(call Call) runID {
+	switch call := call.(type) {
+	case StartRun:
+		return runID{call.Key, call.Number}
+	case StopRun:
+		return runID{call.Key, call.Number}
+	case ThrottleRun:
+		return runID{call.Key, call.Number}
+	case RenewLease:
+	}
+	return runID{}
+}
+
+func (f *Fleet) onCommandResult(w *workerState, result Result) {
+	id := runOf(result.Call)
+	run := w.runs[id]
+	if run == nil {
+		delete(w.strayStops, id)
 		return
 	}
 	switch call := result.Call.(type) {
-	case RenewLease:
-		f.onRenewalResult(w, call, result)
 	case StartRun:
-		if run := w.runs[runID{call.Key, call.Number}]; run != nil {
-			f.onStartResult(w, run, result)
+		if result.Outcome != OutcomeNotSent {
+			f.onAnswered(run)
 		}
+		f.onStartResult(w, run, result)
 	case StopRun:
-		if run := w.runs[runID{call.Key, call.Number}]; run != nil {
-			f.onStopResult(run, result)
-		}
+		f.onStopResult(run, result)
 	case ThrottleRun:
-		if run := w.runs[runID{call.Key, call.Number}]; run != nil {
-			f.onThrottleResult(w, run, call, result)
-		}
+		f.onThrottleResult(w, run, call, result)
+	case RenewLease:
 	}
+	w.updateDue(run)
 }
 
 func (f *Fleet) onRenewalResult(w *workerState, call RenewLease, result Result) {
@@ -110,8 +137,7 @@
 		listed[id] = true
 		run := w.runs[id]
 		if run == nil {
-			f.recordDecision("stopping a run that the worker lists and the log does not hold", w.worker.ID, id, "")
-			f.calls = append(f.calls, StopRun{Target: w.target(), Token: f.term, Key: status.Key, Number: status.Number})
+			f.stopStray(w, id)
 			continue
 		}
 		f.recordStatus(w, run, status)
@@ -119,6 +145,17 @@
 	return listed
 }
 
+// stopStray stops a run that the worker lists and the log does not hold.
+func (f *Fleet) stopStray(w *workerState, id runID) {
+	if w.strayStops[id] || len(w.strayStops) >= maxStrayStops || f.commandsInFlight >= maxCommandsInFlight {
+		return
+	}
+	w.strayStops[id] = true
+	f.commandsInFlight++
+	f.recordDecision("stopping a run that the worker lists and the log does not hold", w.worker.ID, id, "")
+	f.calls = append(f.calls, StopRun{Target: w.target(), Token: f.term, Key: id.key, Number: id.number})
+}
+
 func (f *Fleet) recordStatus(w *workerState, run *trackedRun, status RunStatus) {
 	if run.progressedAt == 0 || status.ProgressPercent != run.status.ProgressPercent ||
 		status.Checkpoint != run.status.Checkpoint {
@@ -134,6 +171,7 @@
 	run.status, run.listedAt = status, w.clock
 	if run.state == inherited || run.state == starting {
 		f.confirmRun(run)
+		w.updateDue(run)
 	}
 	if _, _, job := f.state.Task(status.Key); job == nil || (job.State.IsEnded() && job.State != pimjob.Completed) {
 		f.stopRun(w, run)
@@ -214,7 +252,7 @@
 	case OutcomeExecuted:
 		f.confirmRun(run)
 		if w.markedSilent {
-			f.markSilent(w)
+			f.markSilent(w, run.live.Key)
 		}
 		f.advanceRun(w, run)
 	case OutcomeRejected, OutcomeUnhealthy:
--- a/internal/job/pimfleet/runs.go
+++ b/internal/job/pimfleet/runs.go
@@ -1,7 +1,6 @@
 package pimfleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -14,17 +13,35 @@
 		return
 	}
 	run := &trackedRun{live: live, state: starting, committedAt: f.now, speedPercent: 100, wantedSpeedPercent: 100}
-	w.runs[runID{live.Key, live.Run.Number}] = run
+	_, step, _ := f.state.Task(live.Key)
+	w.addRun(run, step)
+	f.unanswered++
 	f.advanceRun(w, run)
 }
 
 func (f *Fleet) onRunEnded(live pimjob.LiveRun) {
-	if w := f.workers[live.Run.Worker]; w != nil {
-		w.dirty = true
-		delete(w.runs, runID{live.Key, live.Run.Number})
+	w := f.workers[live.Run.Worker]
+	if w == nil {
+		return
+	}
+	w.dirty = true
+	if run := w.runs[runID{live.Key, live.Run.Number}]; run != nil {
+		f.onAnswered(run)
+		w.removeRun(run)
 	}
 }
 
+// onAnswered records that a start command of the run had a result, or that none will be sent.
+func (f *Fleet) onAnswered(run *trackedRun) {
+	if !run.answered {
+		run.answered = true
+		f.unanswered--
+	}
+}
+
+// UnansweredStarts returns how many runs have been committed whose first start command has no result yet.
+func (f *Fleet) UnansweredStarts() int { return f.unanswered }
+
 func (f *Fleet) stopRunsOfJob(job *pimjob.Job) {
 	if job.State == pimjob.Completed {
 		return
@@ -46,9 +63,7 @@
 			runs = append(runs, run)
 		}
 	}
-	slices.SortFunc(runs, func(a, b *trackedRun) int {
-		return cmp.Or(pimjob.CompareKeys(a.live.Key, b.live.Key), cmp.Compare(a.live.Run.Number, b.live.Run.Number))
-	})
+	slices.SortFunc(runs, compareRuns)
 	return runs
 }
 
@@ -90,13 +105,17 @@
 // advanceRun makes the next call for a run if one is due.
 func (f *Fleet) advanceRun(w *workerState, run *trackedRun) {
 	w.dirty = true
+	defer w.updateDue(run)
 	if run.inFlight || f.now < run.nextAt || run.state == closing {
 		return
 	}
+	if f.commandsInFlight >= maxCommandsInFlight && run.needsCall() {
+		run.nextAt = f.now + retryDelay
+		return
+	}
 	if run.stopping {
 		run.attempts++
-		run.inFlight = true
-		f.calls = append(f.calls, StopRun{Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number})
+		f.command(run, StopRun{Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number})
 		return
 	}
 	switch run.state {
@@ -104,8 +123,7 @@
 		f.startRun(w, run)
 	case running:
 		if run.speedPercent != run.wantedSpeedPercent {
-			run.inFlight = true
-			f.calls = append(f.calls, ThrottleRun{
+			f.command(run, ThrottleRun{
 				Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number,
 				SpeedPercent: run.wantedSpeedPercent,
 			})
@@ -120,7 +138,7 @@
 		f.stopRun(w, run)
 		return
 	}
-	if !w.hasClock {
+	if !w.hasClock || f.commandsInFlight >= maxStartsInFlight {
 		run.nextAt = f.now + retryDelay
 		return
 	}
@@ -129,7 +147,7 @@
 		return
 	}
 	run.awaitsCapacitySince = 0
-	if !f.hasCapacity(w) {
+	if !w.hasCapacity() {
 		f.recordDecision(
 			"stopping a run that the worker's capacity no longer holds", w.worker.ID, runID{run.live.Key, run.live.Run.Number}, "",
 		)
@@ -137,13 +155,19 @@
 		return
 	}
 	run.attempts++
-	run.inFlight = true
-	f.calls = append(f.calls, StartRun{
+	f.command(run, StartRun{
 		Target: w.target(), Token: f.term, Key: run.live.Key, Number: run.live.Run.Number,
 		Spec: job.Submission.Spec, Checkpoint: task.Checkpoint, Deadline: f.startDeadline(w),
 	})
 }
 
+// command makes a call for a run.
+func (f *Fleet) command(run *trackedRun, call Call) {
+	run.inFlight = true
+	f.commandsInFlight++
+	f.calls = append(f.calls, call)
+}
+
 // needsCall reports whether a call for the run is to be made at nextAt.
 func (run *trackedRun) needsCall() bool {
 	if run.inFlight || run.state == closing {
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -149,6 +149,12 @@
 		// next call.
 		inFlight bool
 		nextAt   time.Duration
+		// queuedAt is the position in workerState.due, or notQueued.
+		queuedAt int
+		// answered is set once a start command had a result, or was sent by an earlier leader.
+		answered bool
+		// reserved is what the run takes from the capacity of its worker.
+		reserved pimjob.Resources
 		// closingSince is when the worker last confirmed that the run is stopped or will not start,
 		// or when that was last proposed for the log.
 		closingSince time.Duration
--- a/internal/job/pimjob/crash.go
+++ b/internal/job/pimjob/crash.go
@@ -1,7 +1,6 @@
 package pimjob
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimcrash"
@@ -15,9 +14,30 @@
 		Since      int64     `msgpack:"s"`
 		Confirmed  []TaskKey `msgpack:"c,omitempty"`
 		Expired    []LiveRun `msgpack:"e,omitempty"`
+
+		// confirmed is the set of Confirmed, or nil until it is needed.
+		confirmed map[TaskKey]bool
 	}
 )
 
+// isConfirmed reports whether the worker is known to have begun the run of a task.
+func (s *silence) isConfirmed(key TaskKey) bool {
+	if s.confirmed == nil {
+		s.confirmed = make(map[TaskKey]bool, len(s.Confirmed))
+		for _, known := range s.Confirmed {
+			s.confirmed[known] = true
+		}
+	}
+	return s.confirmed[key]
+}
+
+func (s *silence) confirm(key TaskKey) {
+	if !s.isConfirmed(key) {
+		s.confirmed[key] = true
+		s.Confirmed = append(s.Confirmed, key)
+	}
+}
+
 func (s *State) markSilent(op MarkSilent) {
 	worker := s.tables.Workers[op.ID]
 	if worker == nil || worker.Generation != op.Generation {
@@ -29,9 +49,7 @@
 	}
 	if known := s.tables.Silences[op.ID]; known != nil && known.Generation == op.Generation {
 		for _, key := range op.Confirmed {
-			if !slices.Contains(known.Confirmed, key) {
-				known.Confirmed = append(known.Confirmed, key)
-			}
+			known.confirm(key)
 		}
 		return
 	}
@@ -85,7 +103,7 @@
 		}
 		suspect := pimcrash.Suspect{
 			Group: live.Key.Job, Age: time.Duration(crash.Since-live.Run.StartedAt) * time.Millisecond,
-			Confirmed: slices.Contains(crash.Confirmed, live.Key),
+			Confirmed: crash.isConfirmed(live.Key),
 		}
 		if task.Crash != nil {
 			suspect.Record = *task.Crash
--- a/internal/job/pimplan/place.go
+++ b/internal/job/pimplan/place.go
@@ -84,6 +84,9 @@
 	return false
 }
 
+// progressInterval is the number of members of a gang after which Planner.onProgress is called.
+const progressInterval = 256
+
 // maxUnplaceableBestEffort is how many best-effort steps may find no host before a plan skips the
 // rest.
 const maxUnplaceableBestEffort = 40
@@ -100,15 +103,17 @@
 
 // place starts the tasks of a step as far as hosts can take them.
 func (p *Planner) place(c candidate, unplaced unplaceable, placements []placement, plan *Plan) []placement {
+	p.onProgress()
 	step := &c.job.Submission.Steps[c.key.step]
 	quota := p.quotaOf(c.job)
-	if !quota.admits(step.Need, 1) || unplaced.contains(c, step) ||
+	if p.isFull(plan) || !quota.admits(step.Need, 1) || unplaced.contains(c, step) ||
 		(step.BestEffort && !c.starved && unplaced.countBestEffort() >= maxUnplaceableBestEffort) {
 		return placements
 	}
 	if step.Gang {
 		return p.placeGang(c, step, placements, plan)
 	}
+	c.tasks = c.tasks[:min(len(c.tasks), p.startLimit-len(plan.Starts))]
 	if c, placements = p.placeSuspects(c, step, placements, plan); len(c.tasks) == 0 {
 		return placements
 	}
@@ -193,7 +198,10 @@
 			ranked = p.rankHosts(c, step, racks[i])
 		}
 		var chosen []placement
-		for _, index := range c.tasks {
+		for i, index := range c.tasks {
+			if i%progressInterval == 0 {
+				p.onProgress()
+			}
 			if h := p.takeBestHost(c, step, c.taskKey(index), ranked); h != nil {
 				chosen = append(chosen, placement{h, c.taskKey(index), step})
 			}
@@ -208,8 +216,9 @@
 			return placements
 		}
 		quota.add(step.Need, len(chosen))
+		near := isGangNear(step, chosen)
 		for _, member := range chosen {
-			p.onPlaced(c, step, member.key, isGangNear(step, chosen), plan)
+			p.onPlaced(c, step, member.key, near, plan)
 		}
 		for _, member := range chosen {
 			plan.Starts = append(plan.Starts, pimjob.Start{
--- a/internal/job/pimplan/planner.go
+++ b/internal/job/pimplan/planner.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -72,6 +73,10 @@
 		compatibility compatibility
 		// without holds the mechanisms that are switched off.
 		without map[Mechanism]bool
+		// startLimit is the number of starts from which on a plan places no more tasks.
+		startLimit int
+		// onProgress is called now and then during a plan.
+		onProgress func()
 	}
 
 	// Plan lists the runs to start, stop and throttle.
@@ -89,6 +94,11 @@
 		StopReport pimstop.Report
 		// HealthChanges are the hosts that were taken for faulty or no longer are.
 		HealthChanges []pimhealth.Change
+		// Limited is set if the plan reached the limit of its starts.
+		Limited bool
+
+		// stopped holds, by task, the numbers of the runs among Stops that rules of the planner have found.
+		stopped map[pimjob.TaskKey]int
 	}
 
 	// Reservation is a step for which hosts are kept free. Key is that of its first waiting task.
@@ -170,7 +180,8 @@
 		unsuitableWorkers: map[string]map[pimjob.TaskKey][]string{}, interference: newInterferenceModel(),
 		refusedStarts: map[string]int{}, pausedUntil: map[string]time.Duration{},
 		shares: newShareState(), durations: pimduration.New(), pace: newPaceTable(), stops: pimstop.NewBudget(),
-		leaving: newLeavingState(), health: pimhealth.New(), isolation: newIsolation(),
+		leaving: newLeavingState(), health: pimhealth.New(), isolation: newIsolation(), startLimit: math.MaxInt,
+		onProgress: func() {},
 	}
 	p.waits = newWaits(p.durations)
 	p.inherit(state.Learned())
@@ -304,9 +315,19 @@
 	p.handleReports(now, &plan)
 	plan.StopReport = p.stops.TakeReport(now)
 	plan.HealthChanges = p.health.TakeChanges()
+	plan.Limited = p.isFull(&plan)
 	return plan
 }
 
+// LimitStarts limits the starts of each plan from now on. The members of a gang are started together, also beyond the limit.
+func (p *Planner) LimitStarts(limit int) { p.startLimit = limit }
+
+// OnProgress sets a function that is called now and then during a plan. It must not use the planner.
+func (p *Planner) OnProgress(call func()) { p.onProgress = call }
+
+// isFull reports whether a plan has reached the limit of its starts.
+func (p *Planner) isFull(plan *Plan) bool { return len(plan.Starts) >= p.startLimit }
+
 // isSchedulable reports whether new runs may go to a host.
 func (p *Planner) isSchedulable(h *host, now time.Duration) bool {
 	return !h.worker.Draining && !p.state.IsOutOfService(h.worker.Domain) && !p.isolation.isClosed(h.worker.ID, now) &&
--- a/internal/job/pimplan/planner_test.go
+++ b/internal/job/pimplan/planner_test.go
@@ -729,3 +729,42 @@
 	sim.run(time.Second)
 	assert.Equal(t, len(sim.runs), 12)
 }
+
+// Guards against plans that start all tasks of a large job at once, ahead of the jobs that come after it.
+func TestLimitedStarts(t *testing.T) {
+	t.Run("the limit is for the whole plan", func(t *testing.T) {
+		sim := newSimulation(t, 4)
+		sim.submit("large", 1, batch(20, 1))
+		sim.submit("other", 1, batch(20, 1))
+		sim.planner.LimitStarts(5)
+		plan := sim.planner.Plan(sim.now, epochMillis)
+		assert.Equal(t, len(plan.Starts), 5)
+		assert.Assert(t, plan.Limited)
+		sim.planner.LimitStarts(0)
+		assert.Equal(t, len(sim.planner.Plan(sim.now, epochMillis).Starts), 0)
+		sim.planner.LimitStarts(100)
+		plan = sim.planner.Plan(sim.now, epochMillis)
+		assert.Equal(t, len(plan.Starts), 40)
+		assert.Assert(t, !plan.Limited)
+	})
+	t.Run("a job of a higher priority comes first", func(t *testing.T) {
+		sim := newSimulation(t, 4)
+		sim.submit("large", 1, batch(20, 1))
+		sim.planner.LimitStarts(5)
+		assert.Equal(t, len(sim.plan().Starts), 5)
+		sim.submit("urgent", 0, batch(4, 1))
+		starts := sim.plan().Starts
+		assert.Equal(t, len(starts), 5)
+		for _, start := range starts[:4] {
+			assert.Equal(t, start.Key.Job, "urgent")
+		}
+	})
+	t.Run("a gang starts as a whole", func(t *testing.T) {
+		sim := newSimulation(t, 4)
+		gang := batch(20, 1)
+		gang.Gang = true
+		sim.submit("gang", 1, gang)
+		sim.planner.LimitStarts(5)
+		assert.Equal(t, len(sim.plan().Starts), 20)
+	})
+}
--- a/internal/job/pimplan/shares.go
+++ b/internal/job/pimplan/shares.go
@@ -108,7 +108,7 @@
 	queue := pimshare.NewQueue(shares, p.shares.history, steps)
 	for {
 		index, tasks, ok := queue.Next()
-		if !ok {
+		if !ok || p.isFull(plan) {
 			return placements
 		}
 		c := candidates[index]
@@ -134,7 +134,7 @@
 	placements = p.place(c, unplaced, placements, plan)
 	placed := len(plan.Starts) - before
 	step := &c.job.Submission.Steps[c.key.step]
-	if placed < len(c.tasks) && step.MaxPerWorker == 0 && p.quotaOf(c.job).admits(step.Need, c.together(step)) {
+	if placed < len(c.tasks) && !p.isFull(plan) && step.MaxPerWorker == 0 && p.quotaOf(c.job).admits(step.Need, c.together(step)) {
 		p.shares.short = true
 	}
 	return placements, placed
--- a/internal/job/pimplan/stops.go
+++ b/internal/job/pimplan/stops.go
@@ -1,7 +1,6 @@
 package pimplan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimfleet"
@@ -44,9 +43,14 @@
 		p.addUnsuitable(key, h.worker.ID)
 	}
 	// Several rules may find the same run.
-	if !slices.ContainsFunc(plan.Stops, func(other StopRun) bool { return other.Key == key && other.Number == stop.Number }) {
-		plan.Stops = append(plan.Stops, stop)
+	if plan.stopped[key] == stop.Number {
+		return
+	}
+	if plan.stopped == nil {
+		plan.stopped = map[pimjob.TaskKey]int{}
 	}
+	plan.stopped[key] = stop.Number
+	plan.Stops = append(plan.Stops, stop)
 }
 
 // decisionOf returns what the stop of a run costs and saves.
--- a/internal/state/pimconsensus/election.go
+++ b/internal/state/pimconsensus/election.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// KeepAlive returns the leader's heartbeats that are due, for a caller that can't call Tick and Take soon.
+func (r *Replica) KeepAlive(now time.Duration) []Envelope {
+	if r.role != Leader || now < r.nextHeartbeat {
+		return nil
+	}
+	r.now = now
+	r.nextHeartbeat = now + HeartbeatInterval
+	r.sendHeartbeats()
+	heartbeats := r.output.Immediate
+	r.output.Immediate = nil
+	return heartbeats
+}
+
 func (r *Replica) isVoter() bool {
 	return r.members.IsVoter(r.config.ID)
 }
