Draw no conclusion from what an incomplete list of runs lacks

Cause: an executor lists 500 ends at a time. A run in neither list of an answer was started again under the same number; the executor rejected that as old; the next list, cut short like the first, was taken as proof that the run never began, and the task was started as run 2.

--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -80,6 +80,9 @@
 			f.stopRun(w, run)
 		}
 	}
+	if result.Incomplete {
+		return
+	}
 	listed := map[runID]bool{}
 	for _, status := range result.Running {
 		listed[runID{status.Key, status.Number}] = true
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -97,7 +97,9 @@
 	listed := f.recordRunning(w, result.Running)
 	f.updated[w.worker.ID] = true
 	f.proposeEnds(w, result.Ended, listed)
-	f.resolveMissing(w, call.SentAt, listed)
+	if !result.Incomplete {
+		f.resolveMissing(w, call.SentAt, listed)
+	}
 	if w.leaving {
 		f.proposeDrop(w)
 		return
@@ -189,13 +191,13 @@
 // propose, the listed ends may be acknowledged at once.
 func (f *Fleet) proposeEnds(w *workerState, ends []EndedRun, listed map[runID]bool) {
 	for _, end := range ends {
+		id := runID{end.Key, end.Number}
+		listed[id] = true
 		if end.Sequence <= w.proposedCursor {
 			continue
 		}
 		w.proposedCursor = end.Sequence
 		f.unacknowledged[w.worker.ID] = w
-		id := runID{end.Key, end.Number}
-		listed[id] = true
 		if w.runs[id] == nil {
 			continue
 		}
@@ -210,7 +212,7 @@
 	}
 }
 
-// resolveMissing handles the tracked runs that a list does not show. A run that the worker confirmed
+// resolveMissing handles the tracked runs that complete lists do not show. A run that the worker confirmed
 // not to start has ended as refused. For a run that should be listed, the start command is sent
 // again with the same run number: the worker starts the run or rejects it as ended.
 func (f *Fleet) resolveMissing(w *workerState, sentAt time.Duration, listed map[runID]bool) {
--- a/internal/job/pimfleet/simulation_test.go
+++ b/internal/job/pimfleet/simulation_test.go
@@ -72,6 +72,8 @@
 		queue   []delivery
 		done    map[pimjob.TaskKey]bool
 		starts  int
+		// failures counts the runs that failed.
+		failures int
 		// lostShare is the share of calls that never arrive, lateShare that of calls that arrive 2 to 12 s
 		// late and whose result is lost.
 		lostShare, lateShare float64
@@ -92,6 +94,8 @@
 		shrinks *shrinkSimulation
 		// capacity is that of each worker.
 		capacity pimjob.Resources
+		// maxListedEnds is how many ended runs a worker lists at a time, or 0 for no limit.
+		maxListedEnds int
 	}
 )
 
@@ -382,6 +386,9 @@
 			result.Running = append(result.Running, pimfleet.RunStatus{Key: key, Number: run.number})
 		}
 		result.Ended = slices.Clone(f.finished)
+		if s.maxListedEnds > 0 && len(result.Ended) >= s.maxListedEnds {
+			result.Ended, result.Incomplete = result.Ended[:s.maxListedEnds], true
+		}
 	case pimfleet.StartRun:
 		f.start(s, call, &result)
 	case pimfleet.StopRun:
@@ -474,6 +481,7 @@
 			f.end(key, pimjob.EndLeaseExpired)
 		case f.neverFinishes:
 		case now >= run.doneAt && run.fails:
+			s.failures++
 			f.end(key, pimjob.EndFailed)
 		case now >= run.doneAt:
 			s.done[key] = true
--- a/internal/job/pimfleet/types.go
+++ b/internal/job/pimfleet/types.go
@@ -127,6 +127,8 @@
 		// Running and Ended are the lists in the response to a RenewLease.
 		Running []RunStatus
 		Ended   []EndedRun
+		// Incomplete means that the lists may lack runs, so that a run which they do not show may have ended.
+		Incomplete bool
 	}
 
 	// runID identifies a run.
--- a/internal/job/pimrelay/codec.go
+++ b/internal/job/pimrelay/codec.go
@@ -113,6 +113,7 @@
 			e.ints(int64(end.Number), end.Sequence, int64(end.EndKind))
 			e.strings(end.Checkpoint)
 		}
+		e.note(e.EncodeBool(result.Incomplete))
 	})
 }
 
@@ -144,6 +145,7 @@
 				EndKind: pimjob.EndKind(d.enum(int64(pimjob.EndLost))), Checkpoint: d.string(),
 			}
 		}
+		result.Incomplete = d.bool()
 	})
 	return result, err
 }
@@ -238,6 +240,7 @@
 func (d *decoder) uint() uint64   { return read(d, d.DecodeUint64) }
 func (d *decoder) string() string { return read(d, d.DecodeString) }
 func (d *decoder) float() float64 { return read(d, d.DecodeFloat64) }
+func (d *decoder) bool() bool     { return read(d, d.DecodeBool) }
 
 func (d *decoder) duration() time.Duration { return time.Duration(d.int()) }
 
--- a/internal/job/pimrelay/relays_test.go
+++ b/internal/job/pimrelay/relays_test.go
@@ -251,6 +251,7 @@
 			Outcome: pimfleet.Outcome(rapid.IntRange(0, int(pimfleet.OutcomeNotSent)).Draw(t, "outcome")),
 			Reason:  pimfleet.Reason(rapid.IntRange(0, int(pimfleet.ReasonInvalidRequest)).Draw(t, "reason")),
 			Clock:   duration.Draw(t, "clock"), Generation: rapid.Int64().Draw(t, "generation"),
+			Incomplete: rapid.Bool().Draw(t, "incomplete"),
 		}
 		if n := rapid.IntRange(0, 5).Draw(t, "rows"); n > 0 {
 			result.Running = rapid.SliceOfN(status, n, n).Draw(t, "running")
