Ask a worker for its runs before a leave drops it

Cause: a leave names no generation. The leader applied it to the generation that it knew, and ended its runs at once although the worker answered.

Change: a leave makes the leader ask the worker. While it responds it keeps its runs. A worker that does not respond is dropped at once if it was draining for as long as it had said, else when its lease has expired, and comes back with its next heartbeat.

--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -76,9 +76,10 @@
 		lossReported bool
 		// failures counts the renewals that failed in a row.
 		failures int
-		// leaving is set once the worker reported that it leaves. It is dropped after the result of
-		// the pending renewal.
+		// leaving is set once the worker, draining, reported that it leaves. It is dropped as soon as it does not respond.
 		leaving bool
+		// leaveReportedAt is when a leave was reported, or 0 once the worker has responded to a later renewal.
+		leaveReportedAt time.Duration
 		// newGeneration is the later generation that responded in place of this one, or 0.
 		newGeneration int64
 		// proposedCursor is the highest EndedRun.Sequence whose end is proposed for the log.
--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -19,22 +19,45 @@
 	f.addWorker(change.Worker)
 }
 
-// OnLeave handles the report of a worker that it leaves, and returns whether the fleet tracks that
-// generation. The worker is dropped after the response to the pending renewal, so that the ends
-// which that response lists are recorded first.
+// OnLeave handles the report of a worker that it leaves, and returns whether the fleet tracks that generation. The report
+// names no generation and may be read long after it was sent, when the worker has started again. So the worker is asked for
+// its runs, and stays while it responds. One that does not, and was draining for as long as it had said, is dropped at once;
+// any other one when its lease has expired.
 func (f *Fleet) OnLeave(id string, generation int64, now time.Duration) bool {
 	f.now = now
 	w := f.workers[id]
 	if w == nil || w.worker.Generation != generation {
 		return false
 	}
-	w.leaving = true
+	w.leaving = w.leaving || (w.worker.Draining && now >= w.staysUntil-stayTolerance)
+	w.leaveReportedAt = now
+	w.dirty = true
 	if !w.renewing {
-		f.proposeDrop(w)
+		f.renewLease(w)
 	}
 	return true
 }
 
+// onResponseAfterLeave records that a worker that was reported to leave has responded to a renewal that was made afterwards.
+func (f *Fleet) onResponseAfterLeave(w *workerState, call RenewLease) {
+	if w.leaveReportedAt == 0 || call.SentAt < w.leaveReportedAt {
+		return
+	}
+	w.leaveReportedAt = 0
+	f.recordDecision("worker that was reported to leave still responds", w.worker.ID, runID{}, "")
+}
+
+// onSilenceAfterLeave drops a worker that was reported to leave and does not respond, if it is certain that nothing runs
+// there any more. It may come back if the report was an old one.
+func (f *Fleet) onSilenceAfterLeave(w *workerState) {
+	switch {
+	case w.leaving:
+		f.proposeDrop(w)
+	case w.leaveReportedAt != 0 && w.leaseExpired:
+		f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation, MayReturn: true})
+	}
+}
+
 // proposeDrop proposes to drop a worker generation. Ends that were proposed before are applied first.
 func (f *Fleet) proposeDrop(w *workerState) {
 	crashed := !w.leaving && !w.worker.Draining
--- a/internal/job/pimfleet/leases.go
+++ b/internal/job/pimfleet/leases.go
@@ -48,6 +48,7 @@
 			f.reportLoss(w)
 			f.ops = append(f.ops, pimjob.ExpireLease{ID: w.worker.ID, Generation: w.worker.Generation})
 		}
+		f.onSilenceAfterLeave(w)
 	}
 }
 
@@ -62,7 +63,9 @@
 		// generation, whose ended runs this cursor must not acknowledge.
 		call.Cursor = w.cursor
 		call.Deadline = f.grantLease(w)
-		call.Wait = f.policy.Wait
+		if w.leaveReportedAt == 0 {
+			call.Wait = f.policy.Wait
+		}
 	}
 	w.renewing = true
 	f.calls = append(f.calls, call)
--- a/internal/job/pimfleet/observe.go
+++ b/internal/job/pimfleet/observe.go
@@ -24,7 +24,7 @@
 // is not leaving, neither unhealthy nor out of capacity, and its capacity is known.
 func (f *Fleet) IsUsable(id string, now time.Duration) bool {
 	w := f.workers[id]
-	return w != nil && w.reachable && w.hasClock && !w.leaving && now >= w.unhealthyUntil && f.isCapacityCurrent(w, now)
+	return w != nil && w.reachable && w.hasClock && !w.leaving && w.leaveReportedAt == 0 && now >= w.unhealthyUntil && f.isCapacityCurrent(w, now)
 }
 
 // ObservedRuns returns the runs in the last list of a worker, sorted by task and run number. A run that an earlier list
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -79,8 +79,8 @@
 	w.renewing = false
 	if result.Outcome != OutcomeExecuted {
 		f.onRenewalFailed(w, result)
-		if w.leaving {
-			f.proposeDrop(w)
+		if result.Outcome != OutcomeNotSent {
+			f.onSilenceAfterLeave(w)
 		}
 		return
 	}
@@ -94,16 +94,13 @@
 	w.reachable = true
 	w.renewAt = f.now
 	w.listedAt = w.clock
+	f.onResponseAfterLeave(w, call)
 	listed := f.recordRunning(w, result.Running)
 	f.updated[w.worker.ID] = true
 	f.proposeEnds(w, result.Ended, listed)
 	if !result.Incomplete {
 		f.resolveMissing(w, call.SentAt, listed)
 	}
-	if w.leaving {
-		f.proposeDrop(w)
-		return
-	}
 	if w.proposedCursor <= w.cursor {
 		f.renewLease(w)
 	}
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -252,8 +252,10 @@
 	if s.HasGenerationEnded(op.ID, op.Generation) {
 		return nil
 	}
-	s.tables.EndedGenerations[op.ID] = op.Generation
 	worker := s.tables.Workers[op.ID]
+	if !op.MayReturn {
+		s.tables.EndedGenerations[op.ID] = op.Generation
+	}
 	if worker == nil || worker.Generation > op.Generation {
 		return nil
 	}
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -69,11 +69,13 @@
 		Worker Worker `msgpack:"w"`
 	}
 
-	// DropWorker records that a generation of a worker has ended. Crashed means that it ended without notice.
+	// DropWorker records that a generation of a worker has ended. Crashed means that it ended without notice, MayReturn that
+	// it may not have ended and is added again by its next heartbeat.
 	DropWorker struct {
 		ID         string `msgpack:"i"`
 		Generation int64  `msgpack:"b"`
 		Crashed    bool   `msgpack:"c,omitempty"`
+		MayReturn  bool   `msgpack:"r,omitempty"`
 	}
 
 	// ExpireLease records that the lease of a worker's generation expired, which ended its runs.
