--- a/internal/base/pimcode/codes.go
+++ b/internal/base/pimcode/codes.go
@@ -42,6 +42,7 @@
 	DeadlineMissing      Code = 1006
 	RequestIDWithoutHome Code = 1007
 	UnknownDomain        Code = 1008
+	CallOutdated         Code = 1009
 	DeadlineExceeded     Code = 1101
 	NoEndpoint           Code = 1102
 	QueueFull            Code = 1103
@@ -64,6 +65,7 @@
 	ManifestStale        Code = 1303
 	ManifestMissing      Code = 1304
 	ChangeConflict       Code = 1305
+	MarkOutdated         Code = 1306
 	LeaseExpired         Code = 1401
 	WorkerUnknown        Code = 1402
 	QueueUnknown         Code = 1403
@@ -108,6 +110,7 @@
 	{DeadlineMissing, "deadline-missing", 400, "The request gives no positive deadline-millis.", "Give one."},
 	{RequestIDWithoutHome, "request-id-home", 400, "A non-idempotent request id must begin with its home failure domain and a dot.", "Use such an id, or send none and take the one in the answer."},
 	{UnknownDomain, "unknown-failure-domain", 404, "No daemon of that failure domain is a member.", "See pimentoswitch domain list."},
+	{CallOutdated, "call-outdated", 503, "The call was read so long after it was sent that its caller has given it up.", "Send it again if it is still meant."},
 	{DeadlineExceeded, "deadline-exceeded", 504, "The deadline passed before the request ended.", "Read the outcome: not-run may be sent again, unknown only if idempotent."},
 	{NoEndpoint, "no-endpoint", 503, "No endpoint of the service accepts work now.", "Retry after the time in retry-after-millis."},
 	{QueueFull, "queue-full", 503, "The queue of the service is full.", "Retry after the time in retry-after-millis."},
@@ -130,6 +133,7 @@
 	{ManifestStale, "manifest-stale", 409, "The base version is not the version in effect.", "Read it with manifest show and commit on top of it."},
 	{ManifestMissing, "manifest-missing", 404, "No manifest has been committed.", "Commit one."},
 	{ChangeConflict, "change-conflict", 409, "Another mark with this number was accepted first.", "Read the marks with domain list and decide again."},
+	{MarkOutdated, "mark-outdated", 503, "Another mark on the failure domain was committed while this one was on its way.", "Decide again."},
 	{LeaseExpired, "lease-expired", 409, "The worker's lease expired and its tasks are being reassigned.", "The worker runs until its own lease ends, then stops its tasks and reports again."},
 	{WorkerUnknown, "worker-unknown", 404, "The worker has not registered.", "Register first."},
 	{QueueUnknown, "queue-unknown", 404, "No queue of the configuration in effect has this address.", "Check host and path."},
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -50,10 +50,12 @@
 		c.putConfig(request, respond)
 	case pimrpc.GetConfig:
 		l.enqueueRead(c, respond, c.configText)
+	case pimrpc.CountMarks:
+		l.enqueueRead(c, respond, func() pimrpc.Response {
+			return pimrpc.MarkCount{Count: c.state.MarkCount(request.Domain)}
+		})
 	case pimrpc.MarkDomain:
-		c.logger.Info().Str("failure-domain", request.Domain).Bool("out", request.OutOfService).
-			Msg("mark of an operator on a failure domain is proposed")
-		l.enqueueWrite(respond, pimjob.MarkDomain{Domain: request.Domain, OutOfService: request.OutOfService})
+		c.markDomain(request, respond)
 	}
 }
 
@@ -318,6 +320,27 @@
 	c.leadership.enqueueWrite(respond, pimjob.DropWorker{ID: request.ID, Generation: generation})
 }
 
+// markDomain proposes a mark. It responds that the mark is outdated if another one was committed since the order was read
+// and the domain is marked differently.
+func (c *Control) markDomain(request pimrpc.MarkDomain, respond responder) {
+	c.logger.Info().Str("failure-domain", request.Domain).Bool("out", request.OutOfService).Int64("after", request.After).
+		Msg("mark of an operator on a failure domain is proposed")
+	respondIfMarked := func(response pimrpc.Response) {
+		if _, ok := response.(pimrpc.Done); ok && c.state.IsOutOfService(request.Domain) != request.OutOfService {
+			c.metrics.Add("outdated-marks", 1)
+			c.logger.Warn().Str("failure-domain", request.Domain).Bool("out", request.OutOfService).Int64("after", request.After).
+				Int64("marks", c.state.MarkCount(request.Domain)).Msg("mark on a failure domain came after a newer one")
+			response = pimrpc.Rejected{
+				Code: pimcode.MarkOutdated, Detail: "another mark on " + request.Domain + " was committed first",
+			}
+		}
+		respond(response)
+	}
+	c.leadership.enqueueWrite(respondIfMarked, pimjob.MarkDomain{
+		Domain: request.Domain, OutOfService: request.OutOfService, Conditional: true, After: request.After,
+	})
+}
+
 func (c *Control) putConfig(request pimrpc.PutConfig, respond responder) {
 	if request.Config.Version <= c.state.Config().Version {
 		c.leadership.enqueueRead(c, respond, func() pimrpc.Response { return pimrpc.Done{} })
--- a/internal/job/pimjob/apply.go
+++ b/internal/job/pimjob/apply.go
@@ -50,18 +50,29 @@
 		s.dropRates()
 		return []Change{ConfigChanged{}}
 	case MarkDomain:
-		if op.OutOfService {
-			s.tables.OutOfService[op.Domain] = true
-		} else {
-			delete(s.tables.OutOfService, op.Domain)
-		}
-		return []Change{ConfigChanged{}}
+		return s.markDomain(op)
 	case SaveLearned:
 		s.tables.Learned = op.Learned
 	}
 	return nil
 }
 
+func (s *State) markDomain(op MarkDomain) []Change {
+	if op.Conditional && op.After != s.tables.MarkCounts[op.Domain] {
+		return nil
+	}
+	if s.tables.MarkCounts == nil {
+		s.tables.MarkCounts = map[string]int64{}
+	}
+	s.tables.MarkCounts[op.Domain]++
+	if op.OutOfService {
+		s.tables.OutOfService[op.Domain] = true
+	} else {
+		delete(s.tables.OutOfService, op.Domain)
+	}
+	return []Change{ConfigChanged{}}
+}
+
 func (s *State) submit(op Submit) []Change {
 	if s.tables.Jobs[op.Submission.ID] != nil || s.isAuthorizationOutdated(op.AuthorizedBy) {
 		return nil
--- a/internal/job/pimjob/ops.go
+++ b/internal/job/pimjob/ops.go
@@ -100,10 +100,13 @@
 		Config Config `msgpack:"c"`
 	}
 
-	// MarkDomain takes a failure domain out of service or puts it back into service.
+	// MarkDomain takes a failure domain out of service or puts it back into service. If Conditional is set, it has no effect
+	// unless State.MarkCount of the domain is After: another mark was committed since the operator's order was read.
 	MarkDomain struct {
 		Domain       string `msgpack:"d"`
 		OutOfService bool   `msgpack:"o"`
+		Conditional  bool   `msgpack:"c,omitempty"`
+		After        int64  `msgpack:"n,omitempty"`
 	}
 
 	// SaveLearned replaces what the planners of earlier leaders have learned.
--- a/internal/job/pimjob/state.go
+++ b/internal/job/pimjob/state.go
@@ -29,9 +29,11 @@
 	// tables are the stored part of the state. OutOfService holds failure domains, EndedGenerations
 	// the newest generation of each worker that is known to have ended.
 	tables struct {
-		Now              int64              `msgpack:"n"`
-		Config           Config             `msgpack:"c"`
-		OutOfService     map[string]bool    `msgpack:"o"`
+		Now          int64           `msgpack:"n"`
+		Config       Config          `msgpack:"c"`
+		OutOfService map[string]bool `msgpack:"o"`
+		// MarkCounts counts the marks on each failure domain.
+		MarkCounts       map[string]int64   `msgpack:"k,omitempty"`
 		Workers          map[string]*Worker `msgpack:"w"`
 		EndedGenerations map[string]int64   `msgpack:"d"`
 		Jobs             map[string]*Job    `msgpack:"j"`
@@ -291,6 +293,9 @@
 // IsOutOfService reports whether a failure domain is marked as out of service.
 func (s *State) IsOutOfService(domain string) bool { return s.tables.OutOfService[domain] }
 
+// MarkCount returns how many marks on a failure domain have had an effect.
+func (s *State) MarkCount(domain string) int64 { return s.tables.MarkCounts[domain] }
+
 // Worker returns a worker, or nil.
 func (s *State) Worker(id string) *Worker { return s.tables.Workers[id] }
 
--- a/internal/job/pimrpc/messages.go
+++ b/internal/job/pimrpc/messages.go
@@ -68,10 +68,17 @@
 	// GetConfig asks for the configuration in effect.
 	GetConfig struct{}
 
-	// MarkDomain takes a failure domain out of service or puts it back.
+	// MarkDomain takes a failure domain out of service or puts it back, unless the number of marks on it is no longer
+	// After. Forwarder.MarkDomain asks for that number.
 	MarkDomain struct {
 		Domain       string `msgpack:"d"`
 		OutOfService bool   `msgpack:"o"`
+		After        int64  `msgpack:"n"`
+	}
+
+	// CountMarks asks for the number of marks on a failure domain.
+	CountMarks struct {
+		Domain string `msgpack:"d"`
 	}
 
 	// Done means that the request was executed and its effect is committed.
@@ -87,6 +94,11 @@
 		Count int `msgpack:"c"`
 	}
 
+	// MarkCount is the number of marks on a failure domain.
+	MarkCount struct {
+		Count int64 `msgpack:"c"`
+	}
+
 	// ConfigText is a configuration in the form in which it was submitted.
 	ConfigText struct {
 		Text []byte `msgpack:"t"`
@@ -119,9 +131,11 @@
 	{Name: "put-config", Zero: PutConfig{}},
 	{Name: "get-config", Zero: GetConfig{}},
 	{Name: "mark-domain", Zero: MarkDomain{}},
+	{Name: "count-marks", Zero: CountMarks{}},
 	{Name: "done", Zero: Done{}},
 	{Name: "job-state", Zero: JobState{}},
 	{Name: "pending", Zero: Pending{}},
+	{Name: "mark-count", Zero: MarkCount{}},
 	{Name: "config-text", Zero: ConfigText{}},
 	{Name: "refused", Zero: Rejected{}},
 	{Name: "not-leader", Zero: NotLeader{}},
@@ -136,10 +150,12 @@
 func (PutConfig) isRequest()  {}
 func (GetConfig) isRequest()  {}
 func (MarkDomain) isRequest() {}
+func (CountMarks) isRequest() {}
 
 func (Done) isResponse()           {}
 func (JobState) isResponse()       {}
 func (Pending) isResponse()        {}
+func (MarkCount) isResponse()      {}
 func (ConfigText) isResponse()     {}
 func (Rejected) isResponse()       {}
 func (NotLeader) isResponse()      {}
