Drop requests between daemons that come after they were given up

What callers could see: a submission that is held up between two daemons, behind a cut or a full send buffer, was executed seconds later, when another daemon had told its client that the job never runs, or a cancel took effect after its client had gone on.

Cause: nothing told the leader how long a request had been on its way.

Change: the replies to queries for the leader tell its clock, and requests carry the time on that clock at which their daemon gives up. The estimate errs only towards a later deadline, by the time of one query.

TestHeldRequests fails without the check (the submission is executed) and passes three times of three with it, as do a request and a cancel that are merely slow.

--- a/internal/job/pimcontrol/control_test.go
+++ b/internal/job/pimcontrol/control_test.go
@@ -43,6 +43,9 @@
 		partitioned atomic.Bool
 		// unreachable is the address of another member between which and this one no message passes, or nil.
 		unreachable atomic.Pointer[string]
+		// holdsRequests makes the network hold up the requests of the member in held.
+		holdsRequests atomic.Bool
+		held          []func()
 		// stop ends the daemon.
 		stop context.CancelFunc
 	}
@@ -88,7 +91,26 @@
 		from.cannotReach(target) || target.cannotReach(from) {
 		return
 	}
-	target.control.Receive(from.control.ID(), to, message)
+	deliver := func() { target.control.Receive(from.control.ID(), to, message) }
+	if _, ok := message.(pimmessage.CallRequest); ok && from.holdsRequests.Load() {
+		l.group.mutex.Lock()
+		defer l.group.mutex.Unlock()
+		from.held = append(from.held, deliver)
+		return
+	}
+	deliver()
+}
+
+// releaseRequests delivers what the network holds up of a member.
+func (g *group) releaseRequests(m *member) {
+	m.holdsRequests.Store(false)
+	g.mutex.Lock()
+	held := m.held
+	m.held = nil
+	g.mutex.Unlock()
+	for _, deliver := range held {
+		deliver()
+	}
 }
 
 func (m *member) cannotReach(other *member) bool {
--- a/internal/job/pimcontrol/members.go
+++ b/internal/job/pimcontrol/members.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimforward"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
 	"github.com/pimentoswitch/pimentoswitch/internal/state/pimconsensus"
@@ -34,7 +35,9 @@
 // onLeaderQuery responds with the leader and the members of the group. The leader also adds a daemon
 // that asks for membership as a learner.
 func (c *Control) onLeaderQuery(from string, query pimmessage.LeaderQuery) {
-	c.Send(pimforward.AddressOf(from), from, c.leaderReply())
+	reply := c.leaderReply()
+	reply.Clock, reply.QueriedAt = pimclock.Now(), query.SentAt
+	c.Send(pimforward.AddressOf(from), from, reply)
 	if !query.WantsMembership || c.leadership == nil || !c.leadership.ready {
 		return
 	}
--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -14,9 +14,16 @@
 // jobIDLength is the length in bytes of a job ID, which is chosen by the caller.
 const jobIDLength = 16
 
-// onRequest handles a request that a daemon forwarded, and responds at once or later. A daemon that
+// onRequest handles a request that a daemon forwarded, and responds at once or later. One that was held up until its caller
+// had given up is dropped: another daemon may have said meanwhile that it won't be executed. A daemon that
 // doesn't lead responds with the member ID of the leader, if it knows another one.
 func (c *Control) onRequest(from string, call pimmessage.CallRequest) {
+	if call.Deadline > 0 && c.now > call.Deadline {
+		c.metrics.Add("late-requests", 1)
+		c.logger.Info().Str("from", from).Int64("late-ms", (c.now-call.Deadline).Milliseconds()).Int("bytes", len(call.Body)).
+			Msg("request of another daemon came after that had given it up, it is dropped")
+		return
+	}
 	respond := c.respondTo(from, call.ID)
 	request, err := pimrpc.DecodeRequest(call.Body)
 	if err != nil {
--- a/internal/job/pimforward/forwarder.go
+++ b/internal/job/pimforward/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 	"github.com/pimentoswitch/pimentoswitch/internal/member/pimmessage"
@@ -48,6 +49,8 @@
 		// pending holds, by request ID, the channel that receives the response.
 		pending map[uint64]chan pimrpc.Response
 		lastID  uint64
+		// clockOffsets holds, by member ID, the most by which the clock of a daemon is ahead of that of this one.
+		clockOffsets map[string]time.Duration
 		// changed is closed and replaced each time the leader is confirmed.
 		changed chan struct{}
 	}
@@ -86,6 +89,8 @@
 	responseTimeout = 600 * time.Millisecond
 	// retryDelay is the delay before a request is repeated after a response that was not final.
 	retryDelay = 25 * time.Millisecond
+	// maxClockOffsets is above the number of control daemons that are members at a time.
+	maxClockOffsets = 256
 )
 
 // NewForwarder returns a forwarder for the daemon with the ID self, which at first knows only the
@@ -93,7 +98,7 @@
 func NewForwarder(self string, seeds []string, sender Sender, logger *log.Logger) *Forwarder {
 	return &Forwarder{
 		sender: sender, self: self, logger: logger, seeds: seeds,
-		pending: map[uint64]chan pimrpc.Response{}, changed: make(chan struct{}),
+		pending: map[uint64]chan pimrpc.Response{}, changed: make(chan struct{}), clockOffsets: map[string]time.Duration{self: 0},
 		leaderSeenAt: time.Now(),
 		// A late response to a request from before a restart of the daemon must not match a new request.
 		lastID: rand.Uint64(),
@@ -133,7 +138,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.leader != "" && time.Since(f.leaderSeenAt) < leaderTimeout {
-		f.sender.Send(AddressOf(f.leader), f.leader, pimmessage.LeaderQuery{})
+		f.query(AddressOf(f.leader), f.leader)
 		return leaderQueryInterval
 	}
 	if f.leader != "" {
@@ -176,6 +181,7 @@
 func (f *Forwarder) OnLeaderReply(reply pimmessage.LeaderReply) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.observeClock(reply)
 	if reply.Term < f.term {
 		return
 	}
@@ -198,10 +204,34 @@
 		f.leaderSeenAt = time.Now()
 		f.signalChange()
 	case reply.Leader != "" && reply.Leader != f.leader && reply.Leader != f.self:
-		f.sender.Send(AddressOf(reply.Leader), reply.Leader, pimmessage.LeaderQuery{})
+		f.query(AddressOf(reply.Leader), reply.Leader)
 	}
 }
 
+func (f *Forwarder) query(address, to string) {
+	f.sender.Send(address, to, pimmessage.LeaderQuery{SentAt: pimclock.Now()})
+}
+
+// observeClock records how far the clock of a daemon may be ahead: it was read after the query was sent.
+func (f *Forwarder) observeClock(reply pimmessage.LeaderReply) {
+	if reply.QueriedAt == 0 || reply.Sender == "" || reply.Sender == f.self {
+		return
+	}
+	if len(f.clockOffsets) >= maxClockOffsets {
+		f.clockOffsets = map[string]time.Duration{f.self: 0}
+	}
+	f.clockOffsets[reply.Sender] = reply.Clock - reply.QueriedAt
+}
+
+// deadlineAt returns, on the clock of a daemon, when timeout has certainly passed, or 0 if that clock is not known.
+func (f *Forwarder) deadlineAt(id string, timeout time.Duration) time.Duration {
+	offset, ok := f.clockOffsets[id]
+	if !ok {
+		return 0
+	}
+	return pimclock.Now() + offset + timeout
+}
+
 // signalChange wakes the calls that wait for a leader.
 func (f *Forwarder) signalChange() {
 	close(f.changed)
@@ -273,18 +303,19 @@
 func (f *Forwarder) call(
 	ctx context.Context, body []byte, timeouts CallTimeouts, mayUseProxy bool,
 ) (pimrpc.Response, error) {
-	startedAt := time.Now()
+	startedAt := pimclock.Now()
+	elapsed := func() time.Duration { return pimclock.Now() - startedAt }
 	mayHaveExecuted := false
 	for {
-		timeout := timeouts.Total - time.Since(startedAt)
+		timeout := timeouts.Total - elapsed()
 		if !mayHaveExecuted {
-			timeout = min(timeout, timeouts.LeaderWait-time.Since(startedAt))
+			timeout = min(timeout, timeouts.LeaderWait-elapsed())
 		}
 		target, ok := f.awaitLeader(ctx, timeout, mayUseProxy)
 		if !ok || ctx.Err() != nil {
-			return nil, callError(mayHaveExecuted, time.Since(startedAt))
+			return nil, callError(mayHaveExecuted, elapsed())
 		}
-		response, responded := f.callOnce(ctx, target, body, min(responseTimeout, timeouts.Total-time.Since(startedAt)))
+		response, responded := f.callOnce(ctx, target, body, timeouts.Total-elapsed())
 		switch response := response.(type) {
 		case pimrpc.NotLeader:
 			f.dropLeader(target, response.Leader)
@@ -299,7 +330,7 @@
 			f.suspectLeader(target)
 		}
 		if responded && !sleep(ctx, retryDelay) {
-			return nil, callError(mayHaveExecuted, time.Since(startedAt))
+			return nil, callError(mayHaveExecuted, elapsed())
 		}
 	}
 }
@@ -347,14 +378,15 @@
 	}
 }
 
-// callOnce sends a request and waits for its response. It returns false without a response.
+// callOnce sends a request and waits for its response, for responseTimeout at most. It returns false without a response.
+// The request is given up when remaining has passed: until then it may be executed.
 func (f *Forwarder) callOnce(
-	ctx context.Context, target route, body []byte, timeout time.Duration,
+	ctx context.Context, target route, body []byte, remaining time.Duration,
 ) (pimrpc.Response, bool) {
 	responses := make(chan pimrpc.Response, 1)
 	f.mutex.Lock()
 	f.lastID++
-	id := f.lastID
+	id, deadline := f.lastID, f.deadlineAt(target.id, remaining)
 	f.pending[id] = responses
 	f.mutex.Unlock()
 	defer func() {
@@ -363,8 +395,8 @@
 		f.mutex.Unlock()
 	}()
 	f.sender.Send(AddressOf(target.id), target.id,
-		pimmessage.CallRequest{ID: id, Group: GroupName, Body: body, Indirect: target.indirect})
-	timer := time.NewTimer(max(0, timeout))
+		pimmessage.CallRequest{ID: id, Group: GroupName, Body: body, Indirect: target.indirect, Deadline: deadline})
+	timer := time.NewTimer(max(0, min(responseTimeout, remaining)))
 	defer timer.Stop()
 	select {
 	case response := <-responses:
@@ -382,7 +414,7 @@
 	defer f.mutex.Unlock()
 	f.forget(target)
 	if next != "" && next != target.id {
-		f.sender.Send(AddressOf(next), next, pimmessage.LeaderQuery{})
+		f.query(AddressOf(next), next)
 		return
 	}
 	f.queryAll()
@@ -411,6 +443,6 @@
 
 func (f *Forwarder) queryAll() {
 	for _, address := range f.addresses() {
-		f.sender.Send(address, "", pimmessage.LeaderQuery{})
+		f.query(address, "")
 	}
 }
--- a/internal/job/pimforward/mark.go
+++ b/internal/job/pimforward/mark.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/pimentoswitch/pimentoswitch/internal/base/pimclock"
 	"github.com/pimentoswitch/pimentoswitch/internal/base/pimcode"
 	"github.com/pimentoswitch/pimentoswitch/internal/job/pimrpc"
 )
@@ -14,15 +14,14 @@
 func (f *Forwarder) MarkDomain(
 	ctx context.Context, domain string, outOfService bool, isCurrent func() bool, timeouts CallTimeouts,
 ) (pimrpc.Response, error) {
-	startedAt := time.Now()
+	startedAt := pimclock.Now()
 	outdated := pimrpc.Rejected{Code: pimcode.CallOutdated, Detail: "the mark on " + domain + " was read too late"}
 	if !isCurrent() {
 		return outdated, nil
 	}
 	for {
-		remaining := CallTimeouts{
-			LeaderWait: timeouts.LeaderWait - time.Since(startedAt), Total: timeouts.Total - time.Since(startedAt),
-		}
+		elapsed := pimclock.Now() - startedAt
+		remaining := CallTimeouts{LeaderWait: timeouts.LeaderWait - elapsed, Total: timeouts.Total - elapsed}
 		response, err := f.Call(ctx, pimrpc.CountMarks{Domain: domain}, remaining)
 		if err != nil {
 			return nil, err
@@ -34,7 +33,7 @@
 		if !isCurrent() {
 			return outdated, nil
 		}
-		remaining.Total = timeouts.Total - time.Since(startedAt)
+		remaining.Total = timeouts.Total - (pimclock.Now() - startedAt)
 		response, err = f.Call(ctx, pimrpc.MarkDomain{Domain: domain, OutOfService: outOfService, After: marks.Count}, remaining)
 		if rejected, ok := response.(pimrpc.Rejected); !ok || rejected.Code != pimcode.MarkOutdated {
 			return response, err
--- a/internal/member/pimmessage/messages.go
+++ b/internal/member/pimmessage/messages.go
@@ -55,12 +55,14 @@
 	}
 
 	// CallRequest carries a Call to the leader of Group. ID is unique per sender. Indirect is set if
-	// the sender can't reach the leader: a receiver that isn't the leader passes the call on to it.
+	// the sender can't reach the leader: a receiver that isn't the leader passes the call on to it. Deadline, on the
+	// receiver's clock, is when the sender has given up, or 0 if it doesn't know that clock.
 	CallRequest struct {
-		ID       uint64 `msgpack:"i"`
-		Group    string `msgpack:"g"`
-		Body     []byte `msgpack:"b"`
-		Indirect bool   `msgpack:"d,omitempty"`
+		ID       uint64        `msgpack:"i"`
+		Group    string        `msgpack:"g"`
+		Body     []byte        `msgpack:"b"`
+		Indirect bool          `msgpack:"d,omitempty"`
+		Deadline time.Duration `msgpack:"t,omitempty"`
 	}
 
 	// CallReply answers the CallRequest with the same ID. Body is a Reply, or empty if Code
@@ -73,15 +75,16 @@
 	}
 
 	// LeaderQuery asks a control daemon for the leader of the job group, which schedules
-	// jobs. WantsMembership is set by a daemon with a disk that asks to become a member.
+	// jobs. WantsMembership is set by a daemon with a disk that asks to become a member. SentAt is the sender's clock, or 0.
 	LeaderQuery struct {
-		WantsMembership bool `msgpack:"c,omitempty"`
+		WantsMembership bool          `msgpack:"c,omitempty"`
+		SentAt          time.Duration `msgpack:"s,omitempty"`
 	}
 
 	// LeaderReply answers a LeaderQuery. Leader is the leader as far as the sender knows;
 	// ConfirmedLeader is set if the sender is the leader and holds its lease. Members are the
 	// replicas of the job group, voters first. ReachesLeader is set if the leader has recently
-	// replied to Sender, so that it can pass on calls.
+	// replied to Sender, so that it can pass on calls. Clock is Sender's clock, QueriedAt repeats LeaderQuery.SentAt.
 	LeaderReply struct {
 		Leader          string   `msgpack:"l"`
 		Term            uint64   `msgpack:"t"`
@@ -89,6 +92,9 @@
 		ConfirmedLeader bool     `msgpack:"g,omitempty"`
 		Sender          string   `msgpack:"s,omitempty"`
 		ReachesLeader   bool     `msgpack:"r,omitempty"`
+
+		Clock     time.Duration `msgpack:"k,omitempty"`
+		QueriedAt time.Duration `msgpack:"q,omitempty"`
 	}
 
 	// WorkerCall asks a control daemon to make a call to a worker on behalf of the leader of the job group in Term, unless
