Let the executor itself decide what a heartbeat claims about its life

Callers could see tasks run twice: one entry of another writer under the id of an executor that is up, with a start time that is too large, ended all its runs, and the executor was not heard again (report of operators; played by the users, not here).

Cause: a heartbeat was believed in all its fields, whoever sent it: generation, address, clock, sequence number, capacity.

A heartbeat that gives a known executor another generation or address makes the leader ask the executor there, and only its answer counts. A clock far ahead of the executor's own answers is refused, and clocks order heartbeats, not sequence numbers.

--- a/internal/job/pimcontrol/requests.go
+++ b/internal/job/pimcontrol/requests.go
@@ -271,19 +271,30 @@
 		return
 	}
 	known := c.state.Worker(worker.ID)
-	if known != nil && known.Generation > worker.Generation {
+	if known != nil && (known.Generation != worker.Generation || known.Address != worker.Address) {
+		// The worker itself decides. Until it has, it reports again.
+		l.fleet.OnClaim(worker, request.Clock, c.now)
 		respond(pimrpc.Done{})
 		return
 	}
-	if known != nil && known.Generation == worker.Generation && known.Draining {
-		worker.Draining = true
+	if !l.fleet.IsPlausible(worker.ID, worker.Generation, request.Clock, c.now) {
+		c.metrics.Add("implausible-heartbeats", 1)
+		c.logger.Warn().Str("worker", worker.ID).Int64("clock-ms", request.Clock.Milliseconds()).
+			Msg("heartbeat is ahead of the clock of its worker and has no effect")
+		respond(pimrpc.Rejected{Code: pimcode.BadRequest, Detail: "the clock of " + worker.ID + " does not show this time yet"})
+		return
 	}
-	late := l.fleet.ObserveSequence(worker.ID, worker.Generation, request.Sequence, request.Clock, c.now)
-	if known != nil && late {
-		worker.Capacity = known.Capacity
+	late := l.fleet.ObserveOrder(worker.ID, worker.Generation, request.Sequence, request.Clock, c.now)
+	if known != nil {
+		// All else stays for the life of a worker.
+		update := *known
+		update.Draining = known.Draining || worker.Draining
+		if !late {
+			update.Capacity = worker.Capacity
+		}
+		worker = update
 	}
-	if known != nil && known.Generation == worker.Generation && known.Draining == worker.Draining &&
-		known.Address == worker.Address && known.Capacity == worker.Capacity {
+	if known != nil && known.Draining == worker.Draining && known.Capacity == worker.Capacity {
 		l.fleet.OnHeartbeat(worker.ID, worker.Generation, request.Clock, request.StaysFor, c.now)
 		if !late {
 			l.fleet.OnCapacity(worker.ID, worker.Generation, request.Clock, c.now)
@@ -291,13 +302,6 @@
 		respond(pimrpc.Done{})
 		return
 	}
-	if known != nil && known.Generation < worker.Generation && known.Address == worker.Address &&
-		!l.fleet.OnNewGeneration(worker.ID, worker.Generation, c.now) {
-		// The new generation is recorded with a later heartbeat, once no start command for the old
-		// generation can reach it any more.
-		respond(pimrpc.Done{})
-		return
-	}
 	id, generation, clock, staysFor := worker.ID, worker.Generation, request.Clock, request.StaysFor
 	l.enqueueWrite(func(response pimrpc.Response) {
 		if c.leadership != nil && c.leadership.fleet != nil {
--- a/internal/job/pimfleet/fleet.go
+++ b/internal/job/pimfleet/fleet.go
@@ -30,6 +30,8 @@
 		// commandsInFlight counts the calls without a result, renewals not included. unanswered counts the runs whose
 		// first start command has no result yet.
 		commandsInFlight, unanswered int
+		// confirmed holds the claims that were confirmed and are not committed, by worker ID.
+		confirmed map[string]claim
 	}
 
 	// Decision is an entry for the daemon's own log. Key is empty where it concerns a whole worker.
@@ -50,11 +52,15 @@
 		due      runQueue
 		// strayStops are the stops in flight of runs that the log does not hold.
 		strayStops map[runID]bool
+		// claim is what the worker is being asked for, or nil.
+		claim *claim
 
 		// clock is the worker's clock as last reported; the report arrived at clockAt.
 		clock    time.Duration
 		clockAt  time.Duration
 		hasClock bool
+		// clockConfirmed is set once the worker has told its clock in the response to a renewal.
+		clockConfirmed bool
 		// listedAt is the worker's clock at its last list of runs.
 		listedAt time.Duration
 		// leaseExpiresAt is when the lease of the worker's runs is certain to have expired.
@@ -63,10 +69,11 @@
 
 		// cursor is the highest EndedRun.Sequence whose end is committed to the log.
 		cursor int64
-		// renewing is set while a renewal has no result; renewAt is the earliest time of the next.
-		renewing  bool
-		renewAt   time.Duration
-		reachable bool
+		// renewing is set while a renewal, sent to renewedAddress, has no result; renewAt is the earliest time of the next.
+		renewing       bool
+		renewedAddress string
+		renewAt        time.Duration
+		reachable      bool
 		// heardAt is when the worker last responded to a call. silentSince is since when it is taken not to respond, or 0
 		// while it does.
 		heardAt, silentSince time.Duration
@@ -86,7 +93,8 @@
 		proposedCursor int64
 		// capacityAt is the worker's clock in the newest heartbeat that reported worker.Capacity.
 		capacityAt time.Duration
-		// heartbeatSequence is the highest sequence number of a heartbeat.
+		// heartbeatAt is the worker's clock in the newest heartbeat, heartbeatSequence its sequence number.
+		heartbeatAt       time.Duration
 		heartbeatSequence int64
 		// unhealthyUntil is when the worker may get new runs again.
 		unhealthyUntil time.Duration
@@ -133,7 +141,7 @@
 func NewFleet(policy Policy, term uint64, state *pimjob.State, now time.Duration) *Fleet {
 	f := &Fleet{
 		policy: policy, term: term, now: now, state: state, workers: map[string]*workerState{}, updated: map[string]bool{},
-		unacknowledged: map[string]*workerState{},
+		unacknowledged: map[string]*workerState{}, confirmed: map[string]claim{},
 	}
 	for _, worker := range state.Workers() {
 		f.addWorker(*worker)
@@ -157,6 +165,7 @@
 	}
 	f.removeWorker(worker.ID)
 	f.workers[worker.ID] = w
+	f.applyConfirmed(w)
 	at, _ := f.findSorted(worker.ID)
 	f.sortedWorkers = slices.Insert(f.sortedWorkers, at, w)
 }
--- a/internal/job/pimfleet/generations.go
+++ b/internal/job/pimfleet/generations.go
@@ -14,6 +14,7 @@
 	}
 	if known != nil && known.worker.Generation == change.Worker.Generation {
 		known.worker = change.Worker
+		f.applyConfirmed(known)
 		return
 	}
 	f.addWorker(change.Worker)
@@ -66,7 +67,11 @@
 		f.markSilentOnce(w)
 		f.proposeUnbegunEnds(w)
 	}
-	f.ops = append(f.ops, pimjob.DropWorker{ID: w.worker.ID, Generation: w.worker.Generation, Crashed: crashed})
+	f.ops = append(f.ops, pimjob.DropWorker{
+		ID: w.worker.ID, Generation: w.worker.Generation, Crashed: crashed,
+		// A worker whose time of day was set back starts again with a lower generation.
+		MayReturn: w.newGeneration != 0 && w.newGeneration < w.worker.Generation,
+	})
 	w.renewAt = f.now + expiredRetryDelay
 	w.dirty = true
 }
--- a/internal/job/pimfleet/leases.go
+++ b/internal/job/pimfleet/leases.go
@@ -67,7 +67,7 @@
 			call.Wait = f.policy.Wait
 		}
 	}
-	w.renewing = true
+	w.renewing, w.renewedAddress = true, w.worker.Address
 	f.calls = append(f.calls, call)
 }
 
--- a/internal/job/pimfleet/results.go
+++ b/internal/job/pimfleet/results.go
@@ -17,9 +17,17 @@
 		f.commandsInFlight--
 	}
 	w := f.workers[target.ID]
+	if w != nil && w.isForClaim(result.Call) {
+		f.onClaimResult(w, result)
+		return
+	}
 	if w == nil || w.worker.Generation != target.Generation {
 		return
 	}
+	if isRenewal && target.Address != w.worker.Address && target.Address != w.renewedAddress {
+		// It asked the worker for a claim that is no longer of interest.
+		return
+	}
 	w.dirty = true
 	f.observeContact(w, result)
 	switch {
@@ -90,6 +98,7 @@
 		return
 	}
 	w.setClock(result.Clock, f.now)
+	w.dropImplausibleClocks()
 	w.failures = 0
 	w.reachable = true
 	w.renewAt = f.now
--- a/internal/job/pimfleet/shrink_simulation_test.go
+++ b/internal/job/pimfleet/shrink_simulation_test.go
@@ -93,7 +93,7 @@
 		}
 		worker.sequence++
 		clock, capacity := fake.clock(s.now), worker.changes[len(worker.changes)-1].capacity
-		s.fleet.ObserveSequence(id, fake.generation, worker.sequence, clock, s.now)
+		s.fleet.ObserveOrder(id, fake.generation, worker.sequence, clock, s.now)
 		if known.Capacity != capacity {
 			resized := *known
 			resized.Capacity = capacity
