--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 	"entry":   playEntry,
 	"pending": playPending,
 	"rack":    playRack,
+	"same-id": playSameID,
 }
 
 func main() {
--- a/review/standin2/plays.go
+++ b/review/standin2/plays.go
@@ -208,3 +208,43 @@
 	}
 	return broken, nil
 }
+
+// playSameID submits jobs with the same id to two queues, and cancels the one that was submitted last.
+func playSameID(w *world, trouble bool) (bool, error) {
+	const finish, idle = 14 * time.Second, 3 * time.Second
+	if err := w.prepare(map[string]int{"a": 6}); err != nil {
+		return false, err
+	}
+	first, second := newJobID(), newJobID()
+	if trouble {
+		second = first
+	}
+	plans := []taskPlan{{CPU: 2000, MemMB: 4000, WorkMS: 60000}, {CPU: 1000, MemMB: 2000, WorkMS: 2000}}
+	bodies := make([]job, 0, len(plans))
+	for _, plan := range plans {
+		bodies = append(bodies, job{Spec: plan.specification(), Steps: []step{{Count: 1, CPU: plan.CPU, MemMB: plan.MemMB, EstimateMS: plan.WorkMS}}})
+	}
+	if err := w.submitTo(w.queue, first, bodies[0]); err != nil {
+		return false, err
+	}
+	if !await(10*time.Second, func() bool { return w.witness.hasRun(first) }) {
+		return false, errors.New("the first job did not start")
+	}
+	if err := w.submitTo(w.otherQueue, second, bodies[1]); err != nil {
+		// A clear refusal loses nothing.
+		w.note("%v", err)
+		return false, nil
+	}
+	ran := await(finish+idle, func() bool {
+		for _, run := range w.witness.runsOf(second) {
+			if run.plan == plans[1] {
+				return true
+			}
+		}
+		return false
+	})
+	w.note("the job that %s%s accepted has run: %v; it is shown as %q", w.otherQueue, second, ran, w.stateIn(w.otherQueue, second))
+	status, _ := send(w.client, http.MethodDelete, w.entryURL(0)+w.otherQueue+second, w.host, nil)
+	w.note("client: DELETE of %s%s: %d; then %s%s is shown as %q", w.otherQueue, second, status, w.queue, first, w.stateIn(w.queue, first))
+	return !ran, nil
+}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -35,6 +35,8 @@
 		executors            []*executor
 		witness              *witness
 		host, service, queue string
+		// otherQueue is the prefix of a second route.
+		otherQueue string
 	}
 
 	// daemon is a process of the project.
@@ -88,7 +90,7 @@
 		return nil, err
 	}
 	w := &world{
-		record: record, began: time.Now(), host: "jobs.example", service: "workers", queue: "/queue/",
+		record: record, began: time.Now(), host: "jobs.example", service: "workers", queue: "/queue/", otherQueue: "/other/",
 		client: &http.Client{Timeout: clientDeadline},
 	}
 	w.witness = newWitness(w)
@@ -271,12 +273,16 @@
 
 // configure sends the first configuration until it is acknowledged.
 func (w *world) configure() error {
+	var routes []map[string]any
+	for i, prefix := range []string{w.queue, w.otherQueue} {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("route-%d", i+1), "host": w.host, "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000,
+			"objective-ms": 1000, "priority": 0, "service": w.service, "attempts": attempts, "stretch": 2.0,
+		})
+	}
 	body, err := json.Marshal(map[string]any{
 		"version": 1,
-		"routes": []map[string]any{{
-			"name": "route-1", "host": w.host, "path-prefix": w.queue, "type": "unsafe", "timeout-ms": 3000, "objective-ms": 1000,
-			"priority": 0, "service": w.service, "attempts": attempts, "stretch": 2.0,
-		}},
+		"routes":  routes,
 		"services": []map[string]any{{
 			"name": w.service, "health-path": "/health", "max-conns": 64, "protocol": "h1", "tls": false, "rejects-overload": true,
 		}},
@@ -340,21 +346,24 @@
 	return nil
 }
 
-// submit hands a job in, at any entry daemon, until it gets a clear answer.
-func (w *world) submit(id string, body job) error {
+// submit hands a job in, at any entry daemon, until it is accepted.
+func (w *world) submit(id string, body job) error { return w.submitTo(w.queue, id, body) }
+
+// submitTo hands a job in to the queue with a prefix.
+func (w *world) submitTo(queue, id string, body job) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
 	for i := range 10 {
-		status, _ := send(w.client, http.MethodPost, w.entryURL(i)+w.queue+id, w.host, data)
-		w.note("client: POST of job %s at %s: %d", id, w.entries[i%len(w.entries)].name, status)
+		status, _ := send(w.client, http.MethodPost, w.entryURL(i)+queue+id, w.host, data)
+		w.note("client: POST of job %s%s at %s: %d", queue, id, w.entries[i%len(w.entries)].name, status)
 		if status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fmt.Errorf("job %s was not accepted", id)
+	return fmt.Errorf("job %s%s was not accepted", queue, id)
 }
 
 func (w *world) entryURL(i int) string {
@@ -362,8 +371,10 @@
 }
 
 // state returns the state of a job as the client is told, or an empty text without an answer.
-func (w *world) state(id string) string {
-	status, data := send(w.client, http.MethodGet, w.entryURL(rand.IntN(len(w.entries)))+w.queue+id, w.host, nil)
+func (w *world) state(id string) string { return w.stateIn(w.queue, id) }
+
+func (w *world) stateIn(queue, id string) string {
+	status, data := send(w.client, http.MethodGet, w.entryURL(rand.IntN(len(w.entries)))+queue+id, w.host, nil)
 	var body struct {
 		State string `json:"state"`
 	}
