--- a/review/standin2/executor.go
+++ b/review/standin2/executor.go
@@ -47,6 +47,8 @@
 		highest map[string]int
 
 		sequence int64
+		// beatAt is when the last heartbeat was sent.
+		beatAt   time.Time
 		draining bool
 		// staysUntil is until when a draining executor stays at least.
 		staysUntil time.Time
@@ -203,11 +205,19 @@
 // sendBeats sends heartbeats until the life ends.
 func (e *executor) sendBeats(ctx context.Context, l *life) {
 	for {
-		e.beat(l)
+		e.w.witness.mutex.Lock()
+		due := time.Until(l.beatAt.Add(heartbeatInterval))
+		e.w.witness.mutex.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(heartbeatInterval):
+		case <-time.After(due):
+		}
+		e.w.witness.mutex.Lock()
+		isDue := time.Since(l.beatAt) >= heartbeatInterval
+		e.w.witness.mutex.Unlock()
+		if isDue {
+			e.beat(l)
 		}
 	}
 }
@@ -248,6 +258,7 @@
 	e.w.witness.mutex.Lock()
 	defer e.w.witness.mutex.Unlock()
 	l.sequence++
+	l.beatAt = time.Now()
 	b := e.currentBeat(l)
 	data, _ := json.Marshal(b)
 	return data
