--- a/review/standin3/flapping.go
+++ b/review/standin3/flapping.go
@@ -30,7 +30,8 @@
 	if err := s.await(5*time.Second, "the task has started", func() bool { return len(s.record.startsOf(job)) > 0 }); err != nil {
 		return err
 	}
-	time.Sleep(time.Second)
+	// About the time for which the later runs will have lasted.
+	time.Sleep(time.Until(s.record.startsOf(job)[0].at.Add(1250 * time.Millisecond)))
 	if trouble {
 		// The first one down is the one with the task.
 		first := s.executor(s.record.startsOf(job)[0].executor)
