--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,4 +5,4 @@
     echo "build first: the build line of deploy/system.toml, then review/build-3.sh" >&2
     exit 2
 fi
-exec target/standin3 flapping-not-at-fault review/14
+exec target/standin3 dropped-route review/14
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 	"flapping-not-at-fault": {3, playFlapping},
 	"shrunken-group":        {4, playShrunkenGroup},
 	"gang-checkpoints":      {3, playGang},
+	"dropped-route":         {3, playDroppedRoute},
 }
 
 // errNotPlayed means that a precondition of a case did not come about.
