--- a/review/standin3/dropped.go
+++ b/review/standin3/dropped.go
@@ -42,10 +42,13 @@
 	var clients sync.WaitGroup
 	var mutex sync.Mutex
 	rejected := map[string][]int{}
+	var answered sync.Once
+	first := make(chan struct{})
 	for range jobs {
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		clients.Go(func() {
 			tries, refused := s.handIn(id, retries)
+			answered.Do(func() { close(first) })
 			mutex.Lock()
 			defer mutex.Unlock()
 			if refused {
@@ -55,7 +58,11 @@
 	}
 	daemons := s.controls
 	if trouble {
-		time.Sleep(time.Duration(2000+500*(version%20)) * time.Microsecond)
+		// Most of the requests are on their way when the first one is answered.
+		select {
+		case <-first:
+		case <-time.After(20 * time.Millisecond):
+		}
 		s.kill(leader)
 		daemons = s.others(leader)
 	}
