--- a/review/standin3/leave.go
+++ b/review/standin3/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -9,7 +10,9 @@
 // the others of the core stand still. Rule TWICE.
 func playLeaveBeforeCommit(s *system, trouble bool) error {
 	const work, stay, down = 5 * time.Second, 3 * time.Second, 3500 * time.Millisecond
-	if err := s.addExecutors(8000, "b", "a", "a"); err != nil {
+	// One of sixteen leaves.
+	others := append([]string{"b"}, slices.Repeat([]string{"a"}, 14)...)
+	if err := s.addExecutors(8000, others...); err != nil {
 		return err
 	}
 	// Two executors are of the kind that the tasks need, and the second one is busy for 13 s.
@@ -26,7 +29,7 @@
 	if err := s.addExecutors(8000, "b"); err != nil {
 		return err
 	}
-	e := s.executors[3]
+	e := s.executors[len(others)]
 	time.Sleep(time.Second)
 	job, err := s.runOn(e, "cpu=2000 ms=5000", step(2000, 3500))
 	if err != nil {
