--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -50,7 +50,7 @@
 
 const (
 	host   = "jobs.example"
-	prefix = "/work/"
+	prefix = "/jobs/"
 )
 
 var zones = []string{"east-a", "east-b", "east-c", "east-d"}
